--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,41 @@
+// Package agent sends commands straight to workers.
+package agent
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pepperlever/internal/core"
+	"pepperlever/internal/httpc"
+	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
+)
+
+// Agent delivers commands; each delivery is sent at most once.
+type Agent struct {
+	emit  func(core.Command)
+	http  *httpc.Client
+	slots chan struct{}
+}
+
+// New makes an Agent that tells emit what came of deliveries.
+func New(cfg *settings.Settings, emit func(core.Command)) *Agent {
+	timeout := time.Duration(cfg.Params.Workers.ReportS * float64(time.Second) * 2 / 3)
+	return &Agent{emit: emit, http: httpc.New(timeout, 2), slots: make(chan struct{}, max(8, cfg.Params.Limits.MaxConnections/8))}
+}
+
+// Deliver sends commands to a worker without waiting for the answer.
+func (a *Agent) Deliver(d core.Deliver) {
+	go func() {
+		a.slots <- struct{}{}
+		defer func() { <-a.slots }()
+		out := core.Delivered{Machine: d.Machine, Orders: d.Orders}
+		var r protocol.Report
+		status, err := a.http.Call(fasthttp.MethodPost, d.Address, protocol.PathCommands, d.Orders, &r)
+		if err == nil && (status == fasthttp.StatusOK || status == fasthttp.StatusConflict) {
+			out.Executed, out.Report = status == fasthttp.StatusOK, &r
+		}
+		a.emit(out)
+	}()
+}
--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,189 @@
+// Package api serves users, workers and health checks.
+package api
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+	"github.com/valyala/fasthttp"
+
+	"pepperlever/internal/core"
+	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
+)
+
+// API turns requests into commands and the core's answers into responses.
+type API struct {
+	cfg  *settings.Settings
+	emit func(core.Command)
+	// Metrics writes the operator's figures.
+	Metrics func() []byte
+
+	mu    sync.Mutex
+	next  uint64
+	waits map[uint64]chan core.Answer
+}
+
+// New makes an API that passes commands to emit.
+func New(cfg *settings.Settings, emit func(core.Command)) *API {
+	return &API{cfg: cfg, emit: emit, waits: map[uint64]chan core.Answer{}}
+}
+
+// Run serves until ctx ends.
+func (a *API) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp4", a.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	limit := a.cfg.Params.Limits.MaxConnections
+	s := &fasthttp.Server{
+		Handler: a.handle, MaxRequestBodySize: protocol.MaxBody, Concurrency: limit * 3 / 4,
+		ReadTimeout: a.patience() * 2, WriteTimeout: a.patience(), IdleTimeout: 20 * a.patience(),
+		ReadBufferSize: 4096, NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true,
+		ErrorHandler: badRequest,
+		Logger:       quiet{},
+	}
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+	err = s.Serve(ln)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+// quiet drops fasthttp's lines on clients that went away.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// patience is how long a worker or user is kept waiting for the core.
+func (a *API) patience() time.Duration {
+	return min(1900*time.Millisecond, time.Duration(a.cfg.Params.Workers.ReportS*float64(time.Second)))
+}
+
+func badRequest(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	if err == fasthttp.ErrBodyTooLarge {
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	reply(ctx, core.Answer{Status: status, Body: protocol.Problem{Error: "malformed request"}})
+}
+
+func (a *API) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	method := string(ctx.Method())
+	switch {
+	case path == protocol.PathReport:
+		a.only(ctx, method, fasthttp.MethodPost, a.report)
+	case path == protocol.PathHealth:
+		a.only(ctx, method, fasthttp.MethodGet, func(ctx *fasthttp.RequestCtx) {
+			a.ask(ctx, func(req uint64) core.Command { return core.Health{Req: req} })
+		})
+	case path == protocol.PathMetrics:
+		a.only(ctx, method, fasthttp.MethodGet, func(ctx *fasthttp.RequestCtx) {
+			ctx.SetContentType("text/plain; charset=utf-8")
+			ctx.SetBody(a.Metrics())
+		})
+	case path == protocol.PathJobs:
+		a.only(ctx, method, fasthttp.MethodPost, func(ctx *fasthttp.RequestCtx) {
+			body := append([]byte(nil), ctx.PostBody()...)
+			a.ask(ctx, func(req uint64) core.Command { return core.Submit{Req: req, Body: body} })
+		})
+	case strings.HasPrefix(path, protocol.PathJobs+"/"):
+		a.job(ctx, method, strings.TrimPrefix(path, protocol.PathJobs+"/"))
+	default:
+		fail(ctx, fasthttp.StatusNotFound, "no such path")
+	}
+}
+
+func (a *API) job(ctx *fasthttp.RequestCtx, method, rest string) {
+	id, action, nested := strings.Cut(rest, "/")
+	switch {
+	case !nested:
+		a.only(ctx, method, fasthttp.MethodGet, func(ctx *fasthttp.RequestCtx) {
+			a.ask(ctx, func(req uint64) core.Command { return core.Status{Req: req, ID: id} })
+		})
+	case action == protocol.PathCancel:
+		a.only(ctx, method, fasthttp.MethodPost, func(ctx *fasthttp.RequestCtx) {
+			a.ask(ctx, func(req uint64) core.Command { return core.Cancel{Req: req, ID: id} })
+		})
+	default:
+		fail(ctx, fasthttp.StatusNotFound, "no such path")
+	}
+}
+
+func (a *API) only(ctx *fasthttp.RequestCtx, method, want string, f func(*fasthttp.RequestCtx)) {
+	if method != want {
+		ctx.Response.Header.Set("Allow", want)
+		fail(ctx, fasthttp.StatusMethodNotAllowed, "method not allowed")
+		return
+	}
+	f(ctx)
+}
+
+func (a *API) report(ctx *fasthttp.RequestCtx) {
+	var r protocol.Report
+	if err := json.Unmarshal(ctx.PostBody(), &r); err != nil || r.Machine == "" || r.Address == "" || len(r.Machine) > 100 || strings.ContainsAny(r.Machine, " /") {
+		fail(ctx, fasthttp.StatusBadRequest, "malformed report")
+		return
+	}
+	a.ask(ctx, func(req uint64) core.Command { return core.Beat{Req: req, Report: r} })
+}
+
+// ask hands a command to the core and waits for its answer.
+func (a *API) ask(ctx *fasthttp.RequestCtx, make1 func(uint64) core.Command) {
+	ch := make(chan core.Answer, 1)
+	a.mu.Lock()
+	a.next++
+	id := a.next
+	a.waits[id] = ch
+	a.mu.Unlock()
+	a.emit(make1(id))
+	timer := time.NewTimer(a.patience())
+	defer timer.Stop()
+	select {
+	case ans := <-ch:
+		reply(ctx, ans)
+	case <-timer.C:
+		a.mu.Lock()
+		delete(a.waits, id)
+		a.mu.Unlock()
+		reply(ctx, core.Answer{Status: fasthttp.StatusServiceUnavailable, RetryAfter: 1,
+			Body: protocol.Problem{Error: "try again later"}})
+	}
+}
+
+// Answer ends a request.
+func (a *API) Answer(ans core.Answer) {
+	a.mu.Lock()
+	ch := a.waits[ans.Req]
+	delete(a.waits, ans.Req)
+	a.mu.Unlock()
+	if ch != nil {
+		ch <- ans
+	}
+}
+
+func fail(ctx *fasthttp.RequestCtx, status int, what string) {
+	reply(ctx, core.Answer{Status: status, Body: protocol.Problem{Error: what}})
+}
+
+func reply(ctx *fasthttp.RequestCtx, ans core.Answer) {
+	ctx.SetStatusCode(ans.Status)
+	ctx.SetContentType("application/json")
+	if ans.RetryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(ans.RetryAfter))
+	}
+	body, err := json.Marshal(ans.Body)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,129 @@
+// Package cloud speaks to the cloud that rents machines.
+package cloud
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pepperlever/internal/core"
+	"pepperlever/internal/httpc"
+	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
+)
+
+// pageSize is the largest page of machines that the cloud gives.
+const pageSize = "500"
+
+// Cloud carries the core's requests out one after the other, within the
+// cloud's limit on requests.
+type Cloud struct {
+	cfg   *settings.Settings
+	emit  func(core.Command)
+	http  *httpc.Client
+	queue chan func()
+	pause time.Duration
+}
+
+// New makes a Cloud that tells emit what it learns.
+func New(cfg *settings.Settings, emit func(core.Command)) *Cloud {
+	return &Cloud{cfg: cfg, emit: emit, queue: make(chan func(), 256),
+		http:  httpc.New(time.Duration(cfg.Params.Workers.LeaseS*float64(time.Second)/4), 2),
+		pause: time.Duration(float64(time.Second) / cfg.Params.Cloud.RPS),
+	}
+}
+
+// Run works until ctx ends.
+func (c *Cloud) Run(ctx context.Context) error {
+	for {
+		select {
+		case f := <-c.queue:
+			f()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		select {
+		case <-time.After(c.pause / 2):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (c *Cloud) enqueue(f, full func()) {
+	select {
+	case c.queue <- f:
+	default:
+		full()
+	}
+}
+
+func (c *Cloud) call(method, path string, body, out any) (int, error) {
+	return c.http.Call(method, c.cfg.Services.Cloud, path, body, out)
+}
+
+// Catalog reads the machine types.
+func (c *Cloud) Catalog() {
+	c.enqueue(func() {
+		var cat protocol.Catalogue
+		if status, err := c.call(fasthttp.MethodGet, protocol.PathTypes, nil, &cat); err == nil && status == fasthttp.StatusOK && len(cat.Types) > 0 {
+			c.emit(core.CatalogIn{Types: cat.Types})
+		}
+	}, func() {})
+}
+
+// List reads the list of machines, page by page.
+func (c *Cloud) List() {
+	c.enqueue(func() {
+		var all []protocol.ListedMachine
+		after := ""
+		for {
+			args := []string{protocol.ArgLimit, pageSize}
+			if after != "" {
+				args = append(args, protocol.ArgAfter, after)
+			}
+			var page protocol.MachineList
+			status, err := c.call(fasthttp.MethodGet, httpc.Query(protocol.PathMachines, args...), nil, &page)
+			if err != nil || status != fasthttp.StatusOK {
+				return
+			}
+			all = append(all, page.Machines...)
+			if !page.More || len(page.Machines) == 0 {
+				break
+			}
+			after = page.Machines[len(page.Machines)-1].ID
+		}
+		c.emit(core.ListIn{Machines: all})
+	}, func() {})
+}
+
+// Rent asks for machines. An answer that is not clear is Unknown: the same
+// request may safely be repeated under its name.
+func (c *Cloud) Rent(r protocol.Rental) {
+	reply := core.Rented{Rental: r, Outcome: core.Unknown}
+	c.enqueue(func() {
+		var out struct {
+			protocol.MachineNames
+			protocol.Problem
+		}
+		status, err := c.call(fasthttp.MethodPost, protocol.PathMachines, r, &out)
+		switch {
+		case err != nil:
+		case status == fasthttp.StatusOK:
+			reply.Outcome, reply.Machines = core.Applied, append([]string{}, out.Machines...)
+		case status == fasthttp.StatusServiceUnavailable && strings.Contains(out.Error, "capacity"), status == fasthttp.StatusBadRequest:
+			reply.Outcome = core.Refused
+		}
+		c.emit(reply)
+	}, func() { c.emit(reply) })
+}
+
+// Release gives machines back.
+func (c *Cloud) Release(machines []string) {
+	c.enqueue(func() {
+		status, err := c.call(fasthttp.MethodPost, protocol.PathRelease, protocol.MachineNames{Machines: machines}, nil)
+		c.emit(core.Released{Machines: machines, OK: err == nil && status == fasthttp.StatusOK})
+	}, func() { c.emit(core.Released{Machines: machines}) })
+}
--- /dev/null
+++ b/internal/core/control.go
@@ -0,0 +1,324 @@
+package core
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/worker"
+	"pepperlever/internal/protocol"
+)
+
+// control is this node's hold on a worker that reports to it.
+type control struct {
+	term    uint64
+	session uint64
+	address string
+	// sent holds the starts that no report has shown yet.
+	sent map[taskAttempt]job.Resources
+	// queue waits for the next delivery, orders for the next delivery or answer.
+	queue  []protocol.Command
+	orders map[taskAttempt]protocol.Command
+	busy   bool
+	probe  bool
+	heard  time.Duration
+}
+
+type taskAttempt struct {
+	task    string
+	attempt uint64
+}
+
+// termState is this node's fencing token and who waits for a newer one.
+type termState struct {
+	term   uint64
+	taking bool
+	beats  []Beat
+	raise  map[string]uint64
+}
+
+// takeTerm takes a fresh term from the store's counter, by one conditional
+// write, for all workers that wait for one.
+func (c *Core) takeTerm() {
+	if c.term.taking {
+		return
+	}
+	c.term.taking = true
+	c.get(keyTerm, func(r StoreReply) {
+		var n counter
+		switch r.Outcome {
+		case Missing:
+		case Applied:
+			if err := json.Unmarshal(r.Item.Value, &n); err != nil {
+				c.termFailed()
+				return
+			}
+		default:
+			c.termFailed()
+			return
+		}
+		c.writeTerm(n.Term+1, r.Item.Version)
+	})
+}
+
+func (c *Core) writeTerm(term, version uint64) {
+	next := counter{Term: term, Node: c.cfg.Node, Inc: c.inc}
+	c.txn(protocol.Txn{
+		If:   []protocol.Condition{{Key: keyTerm, Version: version}},
+		Then: []protocol.Change{put(keyTerm, next)},
+	}, true, func(r StoreReply) {
+		c.term.taking = false
+		switch r.Outcome {
+		case Applied:
+			c.termTaken(term)
+		case Conflict, Unknown:
+			// Whatever became of it, this number is not used: take the next.
+			c.takeTerm()
+		default:
+			c.termFailed()
+		}
+	})
+}
+
+// termFailed sends the waiting workers on to other nodes.
+func (c *Core) termFailed() {
+	c.term.taking = false
+	for _, b := range c.term.beats {
+		c.unavailable(b.Req)
+	}
+	c.term.beats = nil
+}
+
+func (c *Core) termTaken(term uint64) {
+	c.term.term = term
+	c.log(Info, "term taken", "term", term)
+	beats := c.term.beats
+	c.term.beats = nil
+	for id, above := range c.term.raise {
+		if w := c.own[id]; w != nil && w.term <= above {
+			c.raiseTo(id, w)
+		}
+	}
+	c.term.raise = nil
+	for _, b := range beats {
+		c.beat(b)
+	}
+}
+
+// raiseTo moves a worker to the current term and tells it at once.
+func (c *Core) raiseTo(id string, w *control) {
+	w.term, w.probe = c.term.term, true
+	for k := range w.sent {
+		delete(w.sent, k)
+	}
+	w.queue = nil
+	c.deliver(id, w)
+}
+
+// fence raises a worker's term above a term under which a start is unresolved.
+func (c *Core) fence(f Fence) {
+	w := c.own[f.Machine]
+	if w == nil || w.term > f.Above {
+		return
+	}
+	if c.term.term > f.Above && c.term.term > w.term {
+		c.raiseTo(f.Machine, w)
+		return
+	}
+	if c.term.raise == nil {
+		c.term.raise = map[string]uint64{}
+	}
+	c.term.raise[f.Machine] = max(c.term.raise[f.Machine], f.Above)
+	c.takeTerm()
+}
+
+// beat answers a worker's report.
+func (c *Core) beat(m Beat) {
+	r := &m.Report
+	if c.term.term == 0 || !c.loaded {
+		c.unavailable(m.Req)
+		return
+	}
+	w := c.own[r.Machine]
+	if w == nil || r.Token > w.term {
+		if r.Token > c.term.term {
+			c.term.beats = append(c.term.beats, m)
+			c.takeTerm()
+			return
+		}
+		w = c.adopt(r)
+	}
+	if r.Session != w.session {
+		w.session = r.Session
+		w.queue, w.sent = nil, map[taskAttempt]job.Resources{}
+	}
+	w.address, w.heard = r.Address, c.now.Steady
+	c.reported(w, *r)
+	c.answer(m.Req, http.StatusOK, protocol.Orders{Token: w.term, Commands: w.takeOrders()})
+}
+
+func (c *Core) adopt(r *protocol.Report) *control {
+	w := &control{term: c.term.term, session: r.Session, address: r.Address,
+		sent: map[taskAttempt]job.Resources{}, orders: map[taskAttempt]protocol.Command{}}
+	c.own[r.Machine] = w
+	c.log(Info, "worker reports here", "machine", r.Machine, "term", w.term)
+	return w
+}
+
+// takeOrders hands out the orders that wait; they are repeatable, and given
+// again while the reports show that they are still needed.
+func (w *control) takeOrders() []protocol.Command {
+	out := make([]protocol.Command, 0, len(w.orders))
+	for k, cmd := range w.orders {
+		out = append(out, cmd)
+		delete(w.orders, k)
+	}
+	return out
+}
+
+// reported takes a report of a worker that this node controls and passes it on.
+func (c *Core) reported(w *control, r protocol.Report) {
+	for _, t := range r.Tasks {
+		delete(w.sent, taskAttempt{t.Task, t.Attempt})
+	}
+	o := Observation{Node: c.cfg.Node, Term: w.term, Report: r}
+	for _, p := range c.cfg.Peers {
+		c.sendPeer(p.Node, PeerMsg{Observation: &o})
+	}
+	c.observe(o)
+}
+
+// start forwards a bound task's start, or refuses it for good.
+func (c *Core) start(from string, s Start) {
+	w := c.own[s.Machine]
+	if w == nil || w.term != s.Term || w.session != s.Session || !c.fitsNow(s, w) {
+		c.log(Info, "start refused", "task", s.Task, "machine", s.Machine, "home", from)
+		c.tell(from, PeerMsg{Refusal: &Refusal{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt}})
+		return
+	}
+	w.sent[taskAttempt{s.Task, s.Attempt}] = s.Need
+	w.queue = append(w.queue, protocol.Command{Op: protocol.OpStart, Task: s.Task, Attempt: s.Attempt})
+	c.sched.deliver[s.Machine] = true
+}
+
+// fitsNow checks the room on the machine as its newest report and the starts
+// on their way show it.
+func (c *Core) fitsNow(s Start, w *control) bool {
+	m := c.machines[s.Machine]
+	if m == nil {
+		return false
+	}
+	room := capacity(c.types[m.Type])
+	for _, need := range w.sent {
+		room = room.Plus(need, -1)
+	}
+	for _, t := range m.Tasks {
+		if t.State == protocol.Exited {
+			continue
+		}
+		if id, _, ok := job.SplitTask(t.Task); ok && c.jobs[id] != nil {
+			room = room.Plus(c.jobs[id].Need, -1)
+		}
+	}
+	return s.Need.Fits(room)
+}
+
+// order queues a stop or forget for a worker. Stops go out at once.
+func (c *Core) order(o Order) {
+	w := c.own[o.Machine]
+	if w == nil {
+		return
+	}
+	w.orders[taskAttempt{o.Command.Task, o.Command.Attempt}] = o.Command
+	if o.Command.Op == protocol.OpStop {
+		c.sched.deliver[o.Machine] = true
+	}
+}
+
+// deliver sends what waits for a worker. One delivery is under way at a time.
+func (c *Core) deliver(id string, w *control) {
+	if w.busy || len(w.queue) == 0 && len(w.orders) == 0 && !w.probe {
+		return
+	}
+	commands := append(w.takeOrders(), w.queue...)
+	w.queue, w.busy, w.probe = nil, true, false
+	c.emit(Deliver{Machine: id, Address: w.address,
+		Orders: protocol.Orders{Token: w.term, Session: w.session, Commands: commands}})
+}
+
+// delivered takes the outcome of a delivery. Without an answer its starts may
+// yet be carried out, so the worker's term is raised above theirs; refused
+// ones never are.
+func (c *Core) delivered(d Delivered) {
+	w := c.own[d.Machine]
+	if w == nil {
+		return
+	}
+	w.busy = false
+	if d.Report != nil && d.Report.Machine == d.Machine {
+		if d.Report.Token <= w.term {
+			c.reported(w, *d.Report)
+		}
+	}
+	if !d.Executed {
+		for _, cmd := range d.Orders.Commands {
+			delete(w.sent, taskAttempt{cmd.Task, cmd.Attempt})
+		}
+	}
+	if d.Report == nil {
+		c.log(Info, "delivery got no answer", "machine", d.Machine, "commands", len(d.Orders.Commands))
+		c.fence(Fence{Machine: d.Machine, Above: d.Orders.Token})
+		return
+	}
+	if !d.Executed {
+		c.refuseAll(d)
+	}
+	c.deliver(d.Machine, w)
+}
+
+// refuseAll tells the homes of starts that the worker has turned down whole.
+func (c *Core) refuseAll(d Delivered) {
+	for _, cmd := range d.Orders.Commands {
+		if cmd.Op != protocol.OpStart {
+			continue
+		}
+		id, _, _ := job.SplitTask(cmd.Task)
+		if j := c.jobs[id]; j != nil {
+			if t := c.teamBy[j.Team]; t != nil {
+				c.tell(t.home, PeerMsg{Refusal: &Refusal{Machine: d.Machine, Task: cmd.Task, Attempt: cmd.Attempt}})
+			}
+		}
+	}
+}
+
+// tendControls forgets workers that have gone elsewhere or fallen silent.
+func (c *Core) tendControls() {
+	for id, w := range c.own {
+		m := c.machines[id]
+		elsewhere := m != nil && m.Node != c.cfg.Node
+		if elsewhere || c.now.Steady-w.heard > seconds(c.cfg.Params.Workers.LeaseS) || c.marks[id].Gone {
+			delete(c.own, id)
+		}
+	}
+}
+
+// observe takes a report that any controller has passed on.
+func (c *Core) observe(o Observation) {
+	r := o.Report
+	m := c.machines[r.Machine]
+	if m == nil {
+		m = &worker.Machine{First: c.now.Steady, IdleSince: c.now.Steady}
+		c.machines[r.Machine] = m
+		c.sched.dirty = true
+	} else if !m.Newer(&r) {
+		return
+	}
+	if m.Node != o.Node || m.Term != o.Term || len(m.Tasks) != len(r.Tasks) {
+		c.sched.dirty = true
+	}
+	m.Node, m.Term, m.Seen = o.Node, o.Term, c.now.Steady
+	m.Update(r, c.now.Steady)
+	c.settleMachine(m)
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,235 @@
+// Package core is the scheduler without input or output: commands and a time
+// go in, effects come out. It holds no clock, socket or goroutine.
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"pepperlever/internal/core/fairness"
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/worker"
+	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
+)
+
+// Core is the single owner of all state of a controller.
+type Core struct {
+	cfg    *settings.Settings
+	policy settings.Policy
+	// inc tells this run of the process from earlier ones.
+	inc string
+
+	now     Now
+	effects []Effect
+	nextID  uint64
+	waits   map[uint64]func(StoreReply)
+
+	// Replica of the store.
+	loaded   bool
+	revision uint64
+	lease    uint64
+	enrolled bool
+	nodes    map[string]nodeKey
+	teams    []*team
+	teamBy   map[string]*team
+	fleet    *team
+	jobs     map[string]*job.Job
+	orphans  map[string]map[int]protocol.KeyValue
+	marks    map[string]mark
+	intents  map[string]*intent
+	finals   map[string]protocol.JobState
+
+	// Machines.
+	types    map[string]protocol.MachineType
+	machines map[string]*worker.Machine
+	own      map[string]*control
+	term     termState
+
+	peers   map[string]*peerState
+	storeOK bool
+
+	sched  schedState
+	rental rentState
+	timers timers
+}
+
+// timers hold the next time of each periodic duty.
+type timers struct {
+	last, beat, share, record, homes, settle, fleet, catalog, list time.Duration
+}
+
+// team is the state of one team, whoever is its home.
+type team struct {
+	settings.Team
+	// key is the store key of its home; version 0 means that it has none.
+	key     string
+	home    string
+	homeInc string
+	version uint64
+	acting  bool
+	taking  bool
+	record  fairness.Record
+	stored  time.Duration
+	jobs    map[string]*job.Job
+}
+
+// New makes a core. inc must differ between runs of the process.
+func New(cfg *settings.Settings, policy settings.Policy, inc string) *Core {
+	c := &Core{
+		cfg: cfg, policy: policy, inc: inc,
+		waits: map[uint64]func(StoreReply){}, nodes: map[string]nodeKey{},
+		teamBy: map[string]*team{}, jobs: map[string]*job.Job{},
+		orphans: map[string]map[int]protocol.KeyValue{}, marks: map[string]mark{},
+		intents: map[string]*intent{}, finals: map[string]protocol.JobState{},
+		machines: map[string]*worker.Machine{}, own: map[string]*control{},
+		peers: map[string]*peerState{}, storeOK: true,
+		rental: newRentState(),
+	}
+	for _, t := range cfg.Params.Teams {
+		c.addTeam(&team{Team: t, key: keyHome + t.Name, jobs: map[string]*job.Job{}})
+	}
+	c.fleet = &team{key: keyFleet, jobs: map[string]*job.Job{}}
+	c.fleet.Name = fleetName
+	for _, p := range cfg.Peers {
+		c.peers[p.Node] = &peerState{}
+	}
+	return c
+}
+
+func (c *Core) addTeam(t *team) {
+	c.teams = append(c.teams, t)
+	c.teamBy[t.Name] = t
+}
+
+// Step works through a batch of commands and returns the effects in order.
+func (c *Core) Step(now Now, commands []Command) []Effect {
+	c.now = now
+	c.effects = nil
+	for _, cmd := range commands {
+		c.handle(cmd)
+	}
+	c.periodic()
+	c.schedule()
+	c.flushAll()
+	return c.effects
+}
+
+func (c *Core) handle(cmd Command) {
+	switch m := cmd.(type) {
+	case Submit:
+		c.submit(m)
+	case Status:
+		c.status(m)
+	case Cancel:
+		c.cancel(m)
+	case Health:
+		c.health(m)
+	case Beat:
+		c.beat(m)
+	case StoreReply:
+		if done := c.waits[m.ID]; done != nil {
+			delete(c.waits, m.ID)
+			done(m)
+		}
+	case Loaded:
+		c.load(m)
+	case Watched:
+		c.watched(m)
+	case LeaseUp:
+		c.leaseUp(m.Lease)
+	case LeaseDown:
+		c.leaseDown()
+	case StoreHealth:
+		c.storeOK = m.OK
+	case PeerIn:
+		c.peerIn(m)
+	case PeerUp:
+		c.peerUp(m.Node)
+	case PeerDown:
+		c.peers[m.Node].connected = false
+	case Delivered:
+		c.delivered(m)
+	case CatalogIn:
+		c.catalogIn(m)
+	case ListIn:
+		c.listIn(m)
+	case Rented:
+		c.rented(m)
+	case Released:
+		c.released(m)
+	default:
+		panic(fmt.Sprintf("core: unknown command %T", cmd))
+	}
+}
+
+// every reports whether the duty due at *next is due now, and if so sets its
+// next time.
+func (c *Core) every(next *time.Duration, interval time.Duration) bool {
+	if c.now.Steady < *next {
+		return false
+	}
+	*next = c.now.Steady + interval
+	return true
+}
+
+func (c *Core) periodic() {
+	report := c.reportInterval()
+	c.integrate()
+	if c.every(&c.timers.beat, report/3) {
+		c.nodeBeat()
+	}
+	if c.loaded && c.every(&c.timers.homes, report/6) {
+		c.tendHomes()
+	}
+	if c.loaded && c.every(&c.timers.settle, report/3) {
+		c.settleAll()
+		c.tendControls()
+	}
+	if c.every(&c.timers.catalog, c.catalogInterval()) {
+		c.emit(FetchCatalog{})
+	}
+	if c.fleet.acting && c.every(&c.timers.fleet, report/3) {
+		c.tendFleet()
+	}
+	if c.fleet.acting && c.every(&c.timers.list, c.listInterval()) {
+		c.emit(FetchList{})
+	}
+	if c.loaded && c.every(&c.timers.record, 5*recordInterval) {
+		c.storeRecords()
+	}
+}
+
+func (c *Core) reportInterval() time.Duration { return seconds(c.cfg.Params.Workers.ReportS) }
+
+func (c *Core) catalogInterval() time.Duration {
+	if c.types == nil {
+		return c.reportInterval() / 3
+	}
+	return 10 * seconds(c.cfg.Params.Cloud.ListLagS)
+}
+
+func (c *Core) listInterval() time.Duration { return seconds(c.cfg.Params.Cloud.ListLagS) / 2 }
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) log(level Level, text string, attrs ...any) {
+	c.emit(Log{Level: level, Text: text, Attrs: attrs})
+}
+
+// txn runs a transaction and hands its outcome to done.
+func (c *Core) txn(t protocol.Txn, urgent bool, done func(StoreReply)) {
+	c.nextID++
+	c.waits[c.nextID] = done
+	c.emit(StoreTxn{ID: c.nextID, Txn: t, Urgent: urgent})
+}
+
+// get reads a key and hands it to done.
+func (c *Core) get(key string, done func(StoreReply)) {
+	c.nextID++
+	c.waits[c.nextID] = done
+	c.emit(StoreGet{ID: c.nextID, Key: key})
+}
+
+// seconds turns a figure of the settings into a duration.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/core/fleet/fleet.go
@@ -0,0 +1,106 @@
+// Package fleet decides which machines to rent.
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/placement"
+	"pepperlever/internal/protocol"
+)
+
+// Offer is a kind of machine that the cloud may have.
+type Offer struct {
+	Type protocol.MachineType
+	Zone string
+	Spot bool
+}
+
+// Price is the current price per hour.
+func (o Offer) Price() float64 {
+	if o.Spot {
+		return o.Type.SpotPrice
+	}
+	return o.Type.Price
+}
+
+// Size is what a machine of the offer has.
+func (o Offer) Size() job.Resources {
+	return job.Resources{CPUs: o.Type.CPUs, GPUs: o.Type.GPUs, MemoryGB: o.Type.MemoryGB}
+}
+
+// Demand is a number of like tasks that have no place.
+type Demand struct {
+	Spec  *job.Spec
+	Tasks int
+}
+
+// Order asks for a number of machines of an offer.
+type Order struct {
+	Offer Offer
+	Count int
+}
+
+// Plan covers demand with the machines that are already coming and then with
+// the cheapest offers. Every offer in offers may be ordered up to limit times.
+func Plan(demands []Demand, coming []*placement.Host, offers []Offer, limit int) []Order {
+	hosts := slices.Clone(coming)
+	counts := make([]int, len(offers))
+	for _, d := range bySize(demands) {
+		for range d.Tasks {
+			h := placement.Choose(d.Spec, hosts, nil)
+			if h == nil {
+				i := cheapest(d.Spec, d.Tasks, offers, counts, limit)
+				if i < 0 {
+					break
+				}
+				counts[i]++
+				o := offers[i]
+				h = &placement.Host{Type: o.Type.Name, Zone: o.Zone, Spot: o.Spot, Room: o.Size(), Size: o.Size(), Lasts: -1}
+				hosts = append(hosts, h)
+			}
+			h.Room = h.Room.Plus(d.Spec.Need, -1)
+		}
+	}
+	var out []Order
+	for i, n := range counts {
+		if n > 0 {
+			out = append(out, Order{offers[i], n})
+		}
+	}
+	return out
+}
+
+// bySize puts the largest tasks first, so that small ones fill the gaps.
+func bySize(demands []Demand) []Demand {
+	out := slices.Clone(demands)
+	slices.SortStableFunc(out, func(a, b Demand) int { return cmp.Compare(b.Spec.Need.CPUs, a.Spec.Need.CPUs) })
+	return out
+}
+
+// cheapest finds the offer with the least price per task.
+func cheapest(s *job.Spec, tasks int, offers []Offer, counts []int, limit int) int {
+	best, bestPrice := -1, math.Inf(1)
+	for i, o := range offers {
+		if counts[i] >= limit || !s.Allows(o.Type.Name, o.Zone, o.Spot) || !s.Need.Fits(o.Size()) {
+			continue
+		}
+		if price := o.Price() / math.Min(Fit(s.Need, o.Size()), float64(max(tasks, 1))); price < bestPrice {
+			best, bestPrice = i, price
+		}
+	}
+	return best
+}
+
+// Fit is how many like tasks fit on a machine.
+func Fit(need, size job.Resources) float64 {
+	n := 1e6
+	for _, r := range [][2]float64{{need.CPUs, size.CPUs}, {need.GPUs, size.GPUs}, {need.MemoryGB, size.MemoryGB}} {
+		if r[0] > 0 {
+			n = math.Min(n, math.Floor(r[1]/r[0]+1e-6))
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/homes.go
@@ -0,0 +1,144 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/protocol"
+)
+
+// leaseUp starts over under a fresh lease.
+func (c *Core) leaseUp(lease uint64) {
+	c.lease, c.enrolled = lease, false
+	c.enroll()
+}
+
+// leaseDown gives up every home: others may hold them by now.
+func (c *Core) leaseDown() {
+	c.lease, c.enrolled = 0, false
+	for _, t := range c.allTeams() {
+		if t.acting {
+			c.homeLost(t)
+		}
+	}
+}
+
+// enroll writes this node's own key once it has a lease and the stored state.
+func (c *Core) enroll() {
+	if !c.loaded || c.lease == 0 || c.enrolled {
+		return
+	}
+	c.enrolled = true
+	lease := c.lease
+	own := protocol.Change{Put: keyNode + c.cfg.Node, Value: raw(nodeKey{Inc: c.inc, Lease: lease}), Lease: lease}
+	c.txn(protocol.Txn{Then: []protocol.Change{own}}, true, func(r StoreReply) {
+		if r.Outcome != Applied && c.lease == lease {
+			c.enrolled = false // tendHomes tries again
+		}
+	})
+	c.takeTerm()
+}
+
+// liveNodes lists the controllers whose lease lives, in a fixed order.
+func (c *Core) liveNodes() []string { return slices.Sorted(maps.Keys(c.nodes)) }
+
+// tendHomes takes teams that have no home, or whose home is an earlier run of
+// this node, and hands surplus teams to nodes that have too few.
+func (c *Core) tendHomes() {
+	c.enroll()
+	me, enrolled := c.nodes[c.cfg.Node]
+	if c.lease == 0 || !enrolled || me.Inc != c.inc {
+		return
+	}
+	live := c.liveNodes()
+	if len(live) < c.cfg.Params.Nodes && c.now.Steady < c.reportInterval() && !slices.Contains(live, c.cfg.Node) {
+		return
+	}
+	for i, t := range c.allTeams() {
+		preferred := live[i%len(live)]
+		_, homeLives := c.nodes[t.home]
+		own := t.home == c.cfg.Node && t.homeInc != c.inc
+		stale := homeLives && c.nodes[t.home].Inc != t.homeInc
+		switch {
+		case t.taking:
+		case t.version == 0 && preferred == c.cfg.Node, own, t.version > 0 && !homeLives && preferred == c.cfg.Node, stale && preferred == c.cfg.Node:
+			c.assign(t, c.cfg.Node)
+		case t.acting && preferred != c.cfg.Node && c.peers[preferred] != nil && c.peers[preferred].connected:
+			c.assign(t, preferred)
+		}
+	}
+}
+
+// assign writes a team's home, on the condition that nobody else has.
+func (c *Core) assign(t *team, node string) {
+	n := c.nodes[node]
+	t.taking = true
+	c.txn(protocol.Txn{
+		If: []protocol.Condition{{Key: t.key, Version: t.version}},
+		Then: []protocol.Change{{
+			Put: t.key, Value: raw(homeKey{Node: node, Inc: n.Inc}), Lease: n.Lease,
+		}},
+	}, true, func(r StoreReply) {
+		// The watch tells what came of it.
+		t.taking = false
+	})
+}
+
+// homeWritten notes a team's new home. Events arrive in order, so all that an
+// earlier home has stored is in the replica by now.
+func (c *Core) homeWritten(item protocol.KeyValue) error {
+	var h homeKey
+	if err := json.Unmarshal(item.Value, &h); err != nil {
+		return err
+	}
+	for _, t := range c.allTeams() {
+		if t.key != item.Key || t.version >= item.Version {
+			continue
+		}
+		if t.acting {
+			c.homeLost(t)
+		}
+		t.home, t.homeInc, t.version = h.Node, h.Inc, item.Version
+		if h.Node == c.cfg.Node && h.Inc == c.inc {
+			c.homeTaken(t)
+		}
+	}
+	return nil
+}
+
+func (c *Core) homeTaken(t *team) {
+	t.acting = true
+	c.log(Info, "home taken", "team", t.Name, "jobs", len(t.jobs))
+	for _, j := range t.jobs {
+		j.InFlight = false
+		for _, b := range j.Bound {
+			// An earlier home may or may not have sent the start, so it is
+			// never sent again: only evidence settles it.
+			b.Since, b.Sent, b.Stored = c.now.Steady, true, true
+		}
+		if j.Complete() || j.Cancelled {
+			j.Touch(0)
+		}
+	}
+	if t == c.fleet {
+		c.rental.reset()
+	}
+	c.sched.dirty = true
+}
+
+// homeLost ends this node's part as home. What it had not stored is void, so
+// the jobs are read again.
+func (c *Core) homeLost(t *team) {
+	was := t.acting
+	t.acting, t.home, t.homeInc, t.version = false, "", "", 0
+	if !was {
+		return
+	}
+	c.log(Info, "home lost", "team", t.Name)
+	for _, j := range t.jobs {
+		c.forgetJob(j)
+	}
+	c.emit(StoreReload{})
+}
--- /dev/null
+++ b/internal/core/jobs.go
@@ -0,0 +1,273 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
+)
+
+// flushAll stores what has changed of the jobs that this node is home of.
+func (c *Core) flushAll() {
+	if c.now.Steady < c.sched.storeAfter {
+		return
+	}
+	for _, t := range c.teams {
+		if !t.acting {
+			continue
+		}
+		for _, j := range t.jobs {
+			if j.Dirty() && !j.InFlight && c.flushDue(j) {
+				c.flush(t, j)
+			}
+		}
+	}
+}
+
+// flushDue lets finished tasks of a job gather for a while, so that a long
+// array costs fewer changes; all else is stored at once.
+func (c *Core) flushDue(j *job.Job) bool {
+	if j.Complete() || j.Cancelled || j.Urgent {
+		return true
+	}
+	return c.now.Steady >= j.StoredAt+c.flushInterval()
+}
+
+// update is one transaction on a job and what it carries.
+type update struct {
+	team    *team
+	job     *job.Job
+	txn     protocol.Txn
+	writes  []job.ChunkWrite
+	bound   []*job.Binding
+	final   string
+	nonce   string
+	version uint64
+	retries int
+}
+
+// flush stores a job, on the condition that this node is still the home and
+// nobody has changed the job.
+func (c *Core) flush(t *team, j *job.Job) {
+	c.nextID++
+	u := &update{team: t, job: j, nonce: fmt.Sprintf("%s.%d", c.inc, c.nextID), version: j.Version}
+	j.Nonce = u.nonce
+	u.txn.If = []protocol.Condition{{Key: t.key, Version: t.version}, {Key: activeKey(t.Name, j.ID), Version: j.Version}}
+	more := false
+	u.writes, more = j.TakeDirty(c.chunksPerTxn())
+	for _, w := range u.writes {
+		key := chunkKey(t.Name, j.ID, w.Chunk)
+		if w.Value == nil {
+			u.txn.Then = append(u.txn.Then, protocol.Change{Delete: key})
+		} else {
+			u.txn.Then = append(u.txn.Then, protocol.Change{Put: key, Value: w.Value})
+		}
+	}
+	switch {
+	case more:
+	case j.Cancelled && len(j.Bound) == 0:
+		u.final = protocol.Cancelled
+	case j.Complete() && !j.Cancelled:
+		u.final = protocol.Done
+	}
+	c.closeUpdate(u, more)
+	j.InFlight, j.Urgent, j.StoredAt = true, false, c.now.Steady
+	c.send(u)
+}
+
+// chunksPerTxn keeps a transaction within the limits on changes and size.
+func (c *Core) chunksPerTxn() int {
+	bySize := int(float64(protocol.MaxBody) / 1024 * 3 / 4 / c.cfg.Params.State.ValueKB)
+	return max(1, min(c.cfg.Params.State.TxnOps-3, bySize-2))
+}
+
+// closeUpdate adds the head, or its removal, and the conditions of bindings.
+func (c *Core) closeUpdate(u *update, more bool) {
+	t, j := u.team, u.job
+	head := activeKey(t.Name, j.ID)
+	switch u.final {
+	case protocol.Done:
+		u.txn.If = append(u.txn.If, protocol.Condition{Key: cancelKey(t.Name, j.ID)})
+		u.txn.Then = append(u.txn.Then, protocol.Change{Delete: head},
+			put(keyState+j.ID, stateKey{State: protocol.Done, Tasks: j.Tasks}))
+	case protocol.Cancelled:
+		u.txn.Then = append(u.txn.Then, protocol.Change{Delete: head},
+			protocol.Change{Delete: cancelKey(t.Name, j.ID)})
+	default:
+		u.txn.Then = append(u.txn.Then, protocol.Change{Put: head, Value: j.Head()})
+		u.bound = c.newBindings(j, u, more)
+	}
+}
+
+// newBindings lists the bindings that become stored by u, and adds the
+// conditions under which they may: the job is not cancelled, and no machine of
+// theirs is closing.
+func (c *Core) newBindings(j *job.Job, u *update, more bool) []*job.Binding {
+	var out []*job.Binding
+	machines := map[string]bool{}
+	for i, b := range j.Bound {
+		if b.Stored || more && j.DirtyAt(i) {
+			continue
+		}
+		out = append(out, b)
+		if !machines[b.Machine] {
+			machines[b.Machine] = true
+			u.txn.If = append(u.txn.If, protocol.Condition{Key: keyMark + b.Machine})
+		}
+	}
+	if len(out) > 0 {
+		u.txn.If = append(u.txn.If, protocol.Condition{Key: cancelKey(u.team.Name, j.ID)})
+	}
+	return out
+}
+
+func (c *Core) send(u *update) {
+	c.txn(u.txn, true, func(r StoreReply) { c.updated(u, r) })
+}
+
+// updated takes the outcome of a job's transaction.
+func (c *Core) updated(u *update, r StoreReply) {
+	if c.jobs[u.job.ID] != u.job || !u.team.acting {
+		return // given up or handed over meanwhile; the replica tells the rest
+	}
+	switch r.Outcome {
+	case Applied:
+		c.updateApplied(u, r.Revision)
+	case Conflict:
+		c.updateConflict(u, r.Failed)
+	case Unknown:
+		// It may still be applied late. Sending the same again settles it:
+		// either this one is applied and voids the first, or its conflict
+		// shows that the first was.
+		u.retries++
+		c.send(u)
+	default:
+		u.job.InFlight = false
+		u.job.Retouch(u.writes)
+		c.pauseStoring(r)
+	}
+}
+
+// pauseStoring pauses all storing for a moment after a refusal; the state
+// service is down or overloaded then.
+func (c *Core) pauseStoring(r StoreReply) {
+	if r.Outcome == Refused {
+		c.sched.storeAfter = c.now.Steady + c.reportInterval()/6
+	}
+}
+
+func (c *Core) updateApplied(u *update, revision uint64) {
+	j := u.job
+	j.InFlight, j.Version = false, revision
+	if u.final != "" {
+		s := protocol.JobState{ID: j.ID, State: u.final}
+		if u.final == protocol.Done {
+			s.Done = j.Tasks
+		}
+		c.remember(j.ID, s)
+		c.log(Debug, "job ended", "job", j.ID, "state", u.final)
+		c.reapJob(j)
+		c.forgetJob(j)
+		return
+	}
+	for _, b := range u.bound {
+		b.Stored = true
+	}
+	c.startBound(j)
+	c.reapJob(j)
+}
+
+// updateConflict finds out which condition failed. A failed head is either
+// this very update, applied by an earlier send, or another home's.
+func (c *Core) updateConflict(u *update, failed []string) {
+	j := u.job
+	head := activeKey(u.team.Name, j.ID)
+	if slices.Contains(failed, head) || slices.Contains(failed, u.team.key) {
+		c.get(head, func(r StoreReply) { c.headRead(u, r) })
+		return
+	}
+	j.InFlight = false
+	j.Retouch(u.writes)
+	if slices.Contains(failed, cancelKey(u.team.Name, j.ID)) {
+		c.markCancelled(j)
+	}
+	for i, b := range j.Bound {
+		if !b.Stored && slices.Contains(failed, keyMark+b.Machine) {
+			c.rental.closing[b.Machine] = c.now.Steady
+			c.unbind(j, i)
+		}
+	}
+}
+
+// headRead settles a conflict on the head by the nonce that it carries.
+func (c *Core) headRead(u *update, r StoreReply) {
+	if c.jobs[u.job.ID] != u.job || !u.team.acting {
+		return
+	}
+	switch r.Outcome {
+	case Applied:
+		var h struct {
+			Nonce string `json:"w"`
+		}
+		if err := json.Unmarshal(r.Item.Value, &h); err == nil && h.Nonce == u.nonce {
+			c.updateApplied(u, r.Item.Version)
+			return
+		}
+	case Missing:
+		if u.final != "" && u.retries > 0 {
+			c.get(keyState+u.job.ID, func(s StoreReply) { c.finalRead(u, s) })
+			return
+		}
+	default:
+		c.get(activeKey(u.team.Name, u.job.ID), func(r StoreReply) { c.headRead(u, r) })
+		return
+	}
+	c.log(Info, "deposed as home", "team", u.team.Name, "job", u.job.ID)
+	c.homeLost(u.team)
+}
+
+// finalRead tells whether the end of a job that is no longer stored is the one
+// that u was to store.
+func (c *Core) finalRead(u *update, r StoreReply) {
+	if c.jobs[u.job.ID] != u.job || !u.team.acting {
+		return
+	}
+	var s stateKey
+	if r.Outcome == Applied && json.Unmarshal(r.Item.Value, &s) == nil && s.State == u.final {
+		c.updateApplied(u, r.Item.Version)
+		return
+	}
+	c.homeLost(u.team)
+}
+
+// markCancelled stops a job. Its bindings still end only on proof.
+func (c *Core) markCancelled(j *job.Job) {
+	if j == nil || j.Cancelled {
+		return
+	}
+	j.Cancel()
+	j.CancelledAt = c.now.Steady
+	for i, b := range j.Bound {
+		if !b.Stored && !j.InFlight {
+			c.unbind(j, i)
+		}
+	}
+	if c.mine(j) {
+		c.stopCancelled(j)
+	}
+	c.sched.dirty = true
+}
+
+// unbind ends a binding, on proof that the task is gone or was never sent.
+func (c *Core) unbind(j *job.Job, i int) {
+	j.Unbind(i)
+	j.Urgent = j.Urgent || j.Kind != job.Array
+	c.sched.dirty = true
+}
+
+// flushInterval is how long finished tasks of a job may gather.
+func (c *Core) flushInterval() time.Duration { return c.reportInterval() / 2 }
--- /dev/null
+++ b/internal/core/keys.go
@@ -0,0 +1,116 @@
+package core
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/core/fairness"
+	"pepperlever/internal/protocol"
+)
+
+// Keys in the store. Everything below Root is mirrored by every controller
+// through one watch; the states that users see are kept forever beside it.
+const (
+	Root       = "j/"
+	keyActive  = Root + "a/" // j/a/<team>/<job>[/<chunk>]: a job that is not final
+	keyCancel  = Root + "c/" // j/c/<team>/<job>: its user has cancelled it
+	keyHome    = Root + "h/" // j/h/<team>: the team's home, attached to a lease
+	keyNode    = Root + "n/" // j/n/<node>: a live controller, attached to a lease
+	keyTerm    = Root + "t"  // the counter of fencing tokens
+	keyMark    = Root + "x/" // j/x/<machine>: closing or gone
+	keyIntent  = Root + "v/" // j/v/<request>: a rental
+	keyRecord  = Root + "r/" // j/r/<team>: remembered use
+	keyState   = "u/"        // u/<job>: the state its user is told
+	keyFleet   = Root + "f"  // the home of the renting of machines
+	fleetName  = "fleet"
+	finalsKept = 8192
+)
+
+// nodeKey is the value of a live controller.
+type nodeKey struct {
+	Inc   string `json:"i"`
+	Lease uint64 `json:"l"`
+}
+
+// homeKey is the value of a team's home.
+type homeKey struct {
+	Node string `json:"n"`
+	Inc  string `json:"i"`
+}
+
+// mark is the value of a machine that takes no new bindings. Gone is proof
+// that it and all that was on it are gone.
+type mark struct {
+	Gone    bool   `json:"g,omitempty"`
+	Why     string `json:"w,omitempty"`
+	version uint64
+}
+
+// stateKey is the value that users' answers are read from.
+type stateKey struct {
+	Team  string `json:"t,omitempty"`
+	State string `json:"s"`
+	Tasks int    `json:"n"`
+}
+
+// counter is the value of the term counter.
+type counter struct {
+	Term uint64 `json:"t"`
+	Node string `json:"n"`
+	Inc  string `json:"i"`
+}
+
+// intent is a rental that was decided on; the store knows it before the cloud.
+type intent struct {
+	Rental   protocol.Rental `json:"r"`
+	Machines []string        `json:"m,omitempty"`
+	version  uint64
+	busy     bool
+}
+
+// recordKey is the stored record of one team.
+type recordKey struct {
+	Record fairness.Record `json:"r"`
+}
+
+// raw gives the JSON form of plain data.
+func raw(v any) json.RawMessage {
+	out, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // plain data always has a JSON form
+	}
+	return out
+}
+
+func put(key string, v any) protocol.Change { return protocol.Change{Put: key, Value: raw(v)} }
+
+func activeKey(team, id string) string { return keyActive + team + "/" + id }
+
+func chunkKey(team, id string, chunk int) string {
+	return activeKey(team, id) + "/" + strconv.Itoa(chunk)
+}
+
+func cancelKey(team, id string) string { return keyCancel + team + "/" + id }
+
+// splitActive takes the key of a job or of a chunk apart; chunk 0 is the head.
+func splitActive(key string) (team, id string, chunk int, ok bool) {
+	parts := strings.Split(strings.TrimPrefix(key, keyActive), "/")
+	if len(parts) == 3 {
+		chunk, err := strconv.Atoi(parts[2])
+		return parts[0], parts[1], chunk, err == nil && chunk > 0
+	}
+	if len(parts) != 2 {
+		return "", "", 0, false
+	}
+	return parts[0], parts[1], 0, true
+}
+
+// recordTxn stores a team's record while this node is its home.
+func recordTxn(t *team) protocol.Txn {
+	return protocol.Txn{
+		If:   []protocol.Condition{{Key: t.key, Version: t.version}},
+		Then: []protocol.Change{put(keyRecord+t.Name, recordKey{t.record})},
+	}
+}
--- /dev/null
+++ b/internal/core/messages.go
@@ -0,0 +1,256 @@
+package core
+
+import (
+	"time"
+
+	"pepperlever/internal/core/fairness"
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
+)
+
+// Command is something that happened outside the core.
+type Command any
+
+// Effect is something that the core wants done outside.
+type Effect any
+
+// Commands from users and workers. Req names the request in Answer.
+type (
+	// Submit is a user's submission.
+	Submit struct {
+		Req  uint64
+		Body []byte
+	}
+	// Status asks for the state of a job.
+	Status struct {
+		Req uint64
+		ID  string
+	}
+	// Cancel withdraws a job.
+	Cancel struct {
+		Req uint64
+		ID  string
+	}
+	// Health asks whether this node can take requests.
+	Health struct{ Req uint64 }
+	// Beat is a worker's report.
+	Beat struct {
+		Req    uint64
+		Report protocol.Report
+	}
+)
+
+// Outcome tells what became of a request to the state service.
+type Outcome uint8
+
+// Outcomes of a request to the state service.
+const (
+	// Applied means carried out.
+	Applied Outcome = iota
+	// Conflict means that a condition failed; nothing was changed.
+	Conflict
+	// Missing means that the key does not exist.
+	Missing
+	// NoLease means that the lease of a write has ended; nothing was changed.
+	NoLease
+	// Refused means certainly not carried out.
+	Refused
+	// Unknown means perhaps carried out, perhaps later.
+	Unknown
+)
+
+// Commands from the state service.
+type (
+	// StoreReply answers StoreTxn and StoreGet.
+	StoreReply struct {
+		ID       uint64
+		Outcome  Outcome
+		Revision uint64
+		Failed   []string
+		Item     protocol.KeyValue
+	}
+	// Loaded is the whole stored state as of Revision or a little later.
+	Loaded struct {
+		Revision uint64
+		Items    []protocol.KeyValue
+	}
+	// Watched holds all changes up to Revision.
+	Watched struct {
+		Revision uint64
+		Events   []protocol.Event
+	}
+	// LeaseUp tells of a fresh lease, LeaseDown of its end.
+	LeaseUp struct{ Lease uint64 }
+	// LeaseDown tells that the lease has ended.
+	LeaseDown struct{}
+	// StoreHealth tells whether the state service answers this node.
+	StoreHealth struct{ OK bool }
+)
+
+// Commands from other controllers, workers and the cloud.
+type (
+	// PeerIn is a message of another controller.
+	PeerIn struct {
+		Node string
+		Msg  PeerMsg
+	}
+	// PeerUp tells that messages can now be sent to a controller.
+	PeerUp struct{ Node string }
+	// PeerDown tells that they no longer can.
+	PeerDown struct{ Node string }
+	// Delivered answers Deliver. Report is nil when no answer came.
+	Delivered struct {
+		Machine  string
+		Orders   protocol.Orders
+		Executed bool
+		Report   *protocol.Report
+	}
+	// CatalogIn is the cloud's catalogue.
+	CatalogIn struct{ Types []protocol.MachineType }
+	// ListIn is the cloud's complete list of machines.
+	ListIn struct{ Machines []protocol.ListedMachine }
+	// Rented answers Rent. Outcome is Applied, Refused (no capacity) or Unknown.
+	Rented struct {
+		Rental   protocol.Rental
+		Outcome  Outcome
+		Machines []string
+	}
+	// Released answers Release.
+	Released struct {
+		Machines []string
+		OK       bool
+	}
+)
+
+// Effects.
+type (
+	// Answer ends a request of a user or worker.
+	Answer struct {
+		Req        uint64
+		Status     int
+		Body       any
+		RetryAfter int
+	}
+	// StoreTxn runs a transaction; Urgent ones go first. A user waits for
+	// Quick ones, so that they are refused early rather than tried for long.
+	StoreTxn struct {
+		ID     uint64
+		Txn    protocol.Txn
+		Urgent bool
+		Quick  bool
+	}
+	// StoreGet reads one key.
+	StoreGet struct {
+		ID    uint64
+		Key   string
+		Quick bool
+	}
+	// StoreReload reads everything again.
+	StoreReload struct{}
+	// SendPeer sends a message to one controller.
+	SendPeer struct {
+		Node string
+		Msg  PeerMsg
+	}
+	// Deliver sends commands straight to a worker.
+	Deliver struct {
+		Machine, Address string
+		Orders           protocol.Orders
+	}
+	// FetchCatalog and FetchList ask the cloud.
+	FetchCatalog struct{}
+	// FetchList asks the cloud for its list of machines.
+	FetchList struct{}
+	// Rent asks the cloud for machines.
+	Rent struct{ Rental protocol.Rental }
+	// Release gives machines back.
+	Release struct{ Machines []string }
+	// Log is a line for the operator.
+	Log struct {
+		Level Level
+		Text  string
+		Attrs []any
+	}
+)
+
+// Level is the importance of a log line.
+type Level uint8
+
+// Levels of log lines.
+const (
+	Debug Level = iota
+	Info
+	Error
+)
+
+// PeerMsg is what controllers say to one another. Besides the addresses exactly
+// one field is set. To and From are given when a third node passes it on.
+type PeerMsg struct {
+	To          string       `json:"to,omitempty"`
+	From        string       `json:"from,omitempty"`
+	Observation *Observation `json:"o,omitempty"`
+	Start       *Start       `json:"s,omitempty"`
+	Refusal     *Refusal     `json:"r,omitempty"`
+	Order       *Order       `json:"c,omitempty"`
+	Fence       *Fence       `json:"f,omitempty"`
+	Condemn     *Condemn     `json:"x,omitempty"`
+	Beat        *NodeBeat    `json:"b,omitempty"`
+}
+
+// Observation passes a worker's report on, with the term it was answered under.
+type Observation struct {
+	Node   string          `json:"n"`
+	Term   uint64          `json:"t"`
+	Report protocol.Report `json:"r"`
+}
+
+// Start asks the machine's controller to start a bound task. It is sent once.
+type Start struct {
+	Machine string        `json:"m"`
+	Task    string        `json:"t"`
+	Attempt uint64        `json:"a"`
+	Term    uint64        `json:"k"`
+	Session uint64        `json:"s"`
+	Need    job.Resources `json:"r"`
+}
+
+// Refusal tells that a start was not and never will be forwarded.
+type Refusal struct {
+	Machine string `json:"m"`
+	Task    string `json:"t"`
+	Attempt uint64 `json:"a"`
+}
+
+// Order asks the machine's controller to stop or forget a task.
+type Order struct {
+	Machine string           `json:"m"`
+	Command protocol.Command `json:"c"`
+}
+
+// Fence asks the machine's controller to raise its term above Above, so that
+// starts sent under it are harmless from then on.
+type Fence struct {
+	Machine string `json:"m"`
+	Above   uint64 `json:"k"`
+}
+
+// Condemn asks the renter to give a machine back with all that is on it.
+type Condemn struct {
+	Machine string `json:"m"`
+	Why     string `json:"w"`
+}
+
+// NodeBeat is a controller's sign of life with its records of its teams.
+type NodeBeat struct {
+	StoreOK bool                       `json:"s"`
+	Records map[string]fairness.Record `json:"r,omitempty"`
+	// Heard names the machines that report to this node.
+	Heard []string `json:"h,omitempty"`
+}
+
+// Now is the time of one step: Steady for intervals, Wall (milliseconds) for
+// what has to be compared between controllers and matters to no rule.
+type Now struct {
+	Steady time.Duration
+	Wall   int64
+}
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,126 @@
+package core
+
+import (
+	"time"
+
+	"pepperlever/internal/core/fairness"
+)
+
+// peerState is what is known of another controller.
+type peerState struct {
+	connected bool
+	storeOK   bool
+	seen      time.Duration
+}
+
+// tell sends a message to a node, this one included.
+func (c *Core) tell(node string, m PeerMsg) {
+	if node == c.cfg.Node {
+		c.peerIn(PeerIn{Node: node, Msg: m})
+		return
+	}
+	c.sendPeer(node, m)
+}
+
+// sendPeer sends directly, or over a third node when the direct way is cut.
+// What finds no way is dropped: nothing depends on a message's arrival.
+func (c *Core) sendPeer(node string, m PeerMsg) {
+	p := c.peers[node]
+	if p == nil {
+		return
+	}
+	if p.connected {
+		c.emit(SendPeer{Node: node, Msg: m})
+		return
+	}
+	if m.To != "" {
+		return
+	}
+	m.To, m.From = node, c.cfg.Node
+	for _, other := range c.cfg.Peers {
+		if q := c.peers[other.Node]; other.Node != node && q.connected {
+			c.emit(SendPeer{Node: other.Node, Msg: m})
+			return
+		}
+	}
+}
+
+// peerUp tells a controller that can be reached again all that it missed.
+func (c *Core) peerUp(node string) {
+	c.peers[node].connected = true
+	for id, w := range c.own {
+		if m := c.machines[id]; m != nil && m.Node == c.cfg.Node {
+			c.sendPeer(node, PeerMsg{Observation: &Observation{Node: c.cfg.Node, Term: w.term, Report: m.Report}})
+		}
+	}
+}
+
+func (c *Core) peerIn(in PeerIn) {
+	m, from := in.Msg, in.Node
+	if m.To != "" && m.To != c.cfg.Node {
+		c.sendPeer(m.To, m)
+		return
+	}
+	if m.From != "" {
+		from = m.From
+	}
+	if p := c.peers[from]; p != nil {
+		p.seen = c.now.Steady
+	}
+	switch {
+	case m.Observation != nil:
+		c.observe(*m.Observation)
+	case m.Start != nil:
+		c.start(from, *m.Start)
+	case m.Refusal != nil:
+		c.refused(*m.Refusal)
+	case m.Order != nil:
+		c.order(*m.Order)
+	case m.Fence != nil:
+		c.fence(*m.Fence)
+	case m.Condemn != nil:
+		c.condemned(*m.Condemn)
+	case m.Beat != nil:
+		c.nodeBeatIn(from, *m.Beat)
+	}
+}
+
+// nodeBeat sends this node's sign of life, with the records of its teams every
+// record interval.
+func (c *Core) nodeBeat() {
+	b := NodeBeat{StoreOK: c.storeOK}
+	if c.every(&c.timers.share, recordInterval) {
+		b.Records = map[string]fairness.Record{}
+		for _, t := range c.teams {
+			if t.acting {
+				b.Records[t.Name] = t.record
+			}
+		}
+	}
+	for id := range c.own {
+		if m := c.machines[id]; m != nil && m.Node == c.cfg.Node && c.now.Steady-m.Seen < 2*c.reportInterval() {
+			b.Heard = append(b.Heard, id)
+		}
+	}
+	for _, p := range c.cfg.Peers {
+		c.sendPeer(p.Node, PeerMsg{Beat: &b})
+	}
+}
+
+func (c *Core) nodeBeatIn(node string, b NodeBeat) {
+	p := c.peers[node]
+	if p == nil {
+		return
+	}
+	p.storeOK = b.StoreOK
+	for name, r := range b.Records {
+		if t := c.teamBy[name]; t != nil && !t.acting {
+			t.record = r
+		}
+	}
+	for _, id := range b.Heard {
+		if m := c.machines[id]; m != nil {
+			m.Seen = c.now.Steady
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/placement/placement.go
@@ -0,0 +1,133 @@
+// Package placement chooses machines for tasks.
+package placement
+
+import (
+	"pepperlever/internal/core/job"
+)
+
+// Host is a machine that can take tasks, with the room that is left on it.
+type Host struct {
+	ID, Type, Zone string
+	Spot           bool
+	Room, Size     job.Resources
+	// Warm tells whether it has or fetches an image.
+	Warm func(image string) bool
+	// Penalty makes suspect machines the last choice.
+	Penalty float64
+	// Lasts is how many seconds it will stay; negative when not limited.
+	Lasts float64
+	// Empty tells that nothing is bound to it.
+	Empty bool
+	// Delay is how many seconds pass before it can start a task.
+	Delay float64
+}
+
+// Zones counts the tasks of a job that are bound in each zone.
+type Zones map[string]int
+
+// Allowed tells whether one more task of the job may go to a host, given where
+// its other tasks are.
+func Allowed(s *job.Spec, h *Host, zones Zones) bool {
+	if !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
+		return false
+	}
+	if s.OneZone {
+		for z, n := range zones {
+			if n > 0 && z != h.Zone {
+				return false
+			}
+		}
+	}
+	return !s.Spread || zones[h.Zone] < (s.Tasks+1)/2
+}
+
+// Choose picks the best allowed host, or nil. Machines with the image come
+// first, then the one whose room is filled best, so that others can empty.
+func Choose(s *job.Spec, hosts []*Host, zones Zones) *Host {
+	var best *Host
+	bestScore := 0.0
+	for _, h := range hosts {
+		if !Allowed(s, h, zones) || h.Lasts >= 0 && h.Lasts < s.EstimateS+s.SaveS {
+			continue
+		}
+		if score := score(s, h); best == nil || score > bestScore {
+			best, bestScore = h, score
+		}
+	}
+	return best
+}
+
+// score adds up the share of the host that is in use afterwards, and a bonus
+// for an image that need not be fetched.
+func score(s *job.Spec, h *Host) float64 {
+	left := h.Room.Plus(s.Need, -1)
+	used := 0.0
+	if h.Size.CPUs > 0 {
+		used += 1 - left.CPUs/h.Size.CPUs
+	}
+	if h.Size.MemoryGB > 0 {
+		used += 1 - left.MemoryGB/h.Size.MemoryGB
+	}
+	out := used - h.Penalty
+	if h.Warm != nil && h.Warm(s.Image) {
+		out += 2
+	}
+	if h.Empty {
+		out--
+	}
+	return out
+}
+
+// Gang places n tasks of a job, all or none. The hosts' room is taken only if
+// all find a place.
+func Gang(s *job.Spec, n int, hosts []*Host, zones Zones) []*Host {
+	if s.OneZone {
+		for _, zone := range zonesOf(hosts) {
+			if out := gang(s, n, hosts, Zones{zone: max(1, zones[zone])}, zones, zone); out != nil {
+				return out
+			}
+		}
+		return nil
+	}
+	counted := Zones{}
+	for z, k := range zones {
+		counted[z] = k
+	}
+	return gang(s, n, hosts, counted, zones, "")
+}
+
+func gang(s *job.Spec, n int, hosts []*Host, counted, before Zones, zone string) []*Host {
+	for z, k := range before {
+		if zone != "" && k > 0 && z != zone {
+			return nil
+		}
+	}
+	var out []*Host
+	for range n {
+		h := Choose(s, hosts, counted)
+		if h == nil {
+			for _, taken := range out {
+				taken.Room = taken.Room.Plus(s.Need, 1)
+			}
+			return nil
+		}
+		h.Room = h.Room.Plus(s.Need, -1)
+		if zone == "" {
+			counted[h.Zone]++
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+func zonesOf(hosts []*Host) []string {
+	var out []string
+	seen := map[string]bool{}
+	for _, h := range hosts {
+		if !seen[h.Zone] {
+			seen[h.Zone] = true
+			out = append(out, h.Zone)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/replica.go
@@ -0,0 +1,220 @@
+package core
+
+import (
+	"strings"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
+)
+
+// load replaces the replica by the stored state. Jobs of teams that this node
+// is home of stay as they are: only it writes them.
+func (c *Core) load(m Loaded) {
+	seen := make(map[string]bool, len(m.Items))
+	for _, item := range m.Items {
+		seen[item.Key] = true
+	}
+	for key := range c.knownKeys() {
+		if !seen[key] {
+			c.dropped(key, m.Revision)
+		}
+	}
+	for _, item := range m.Items {
+		c.written(item)
+	}
+	c.revision = max(c.revision, m.Revision)
+	c.loaded = true
+	c.log(Info, "state loaded", "keys", len(m.Items), "revision", m.Revision)
+	c.enroll()
+}
+
+// knownKeys lists the keys that the replica stands for.
+func (c *Core) knownKeys() map[string]bool {
+	out := map[string]bool{}
+	for node := range c.nodes {
+		out[keyNode+node] = true
+	}
+	for _, t := range c.allTeams() {
+		if t.version > 0 {
+			out[t.key] = true
+		}
+	}
+	for id, j := range c.jobs {
+		if !j.InFlight {
+			out[activeKey(j.Team, id)] = true
+		}
+	}
+	for machine := range c.marks {
+		out[keyMark+machine] = true
+	}
+	for name := range c.intents {
+		out[keyIntent+name] = true
+	}
+	return out
+}
+
+func (c *Core) allTeams() []*team {
+	return append(c.teams[:len(c.teams):len(c.teams)], c.fleet)
+}
+
+func (c *Core) watched(m Watched) {
+	for _, e := range m.Events {
+		if e.Delete != "" {
+			c.dropped(e.Delete, e.Version)
+		} else {
+			c.written(protocol.KeyValue{Key: e.Put, Value: e.Value, Version: e.Version})
+		}
+	}
+	c.revision = max(c.revision, m.Revision)
+}
+
+// written applies a stored value to the replica.
+func (c *Core) written(item protocol.KeyValue) {
+	var err error
+	switch key := item.Key; {
+	case strings.HasPrefix(key, keyActive):
+		err = c.jobWritten(item)
+	case strings.HasPrefix(key, keyCancel):
+		if _, id, _, ok := splitActive(keyActive + strings.TrimPrefix(key, keyCancel)); ok {
+			c.markCancelled(c.jobs[id])
+		}
+	case key == keyFleet, strings.HasPrefix(key, keyHome):
+		err = c.homeWritten(item)
+	case strings.HasPrefix(key, keyNode):
+		var n nodeKey
+		if err = json.Unmarshal(item.Value, &n); err == nil {
+			c.nodes[strings.TrimPrefix(key, keyNode)] = n
+		}
+	case strings.HasPrefix(key, keyMark):
+		m := mark{version: item.Version}
+		if err = json.Unmarshal(item.Value, &m); err == nil {
+			c.marked(strings.TrimPrefix(key, keyMark), m)
+		}
+	case strings.HasPrefix(key, keyIntent):
+		i := &intent{}
+		if err = json.Unmarshal(item.Value, i); err == nil {
+			c.intentWritten(strings.TrimPrefix(key, keyIntent), i, item.Version)
+		}
+	case strings.HasPrefix(key, keyRecord):
+		var r recordKey
+		t := c.teamBy[strings.TrimPrefix(key, keyRecord)]
+		if err = json.Unmarshal(item.Value, &r); err == nil && t != nil && !t.acting {
+			t.record = r.Record
+		}
+	}
+	if err != nil {
+		c.log(Error, "stored value is not understood", "key", item.Key, "error", err.Error())
+	}
+}
+
+// dropped applies a deletion to the replica.
+func (c *Core) dropped(key string, revision uint64) {
+	switch {
+	case strings.HasPrefix(key, keyActive):
+		_, id, chunk, ok := splitActive(key)
+		if j := c.jobs[id]; ok && chunk == 0 && j != nil && j.Version < revision && !c.mine(j) {
+			c.forgetJob(j)
+		}
+	case key == keyFleet, strings.HasPrefix(key, keyHome):
+		for _, t := range c.allTeams() {
+			if t.key == key && t.version < revision {
+				c.homeLost(t)
+			}
+		}
+	case strings.HasPrefix(key, keyNode):
+		c.log(Info, "controller is gone", "node", strings.TrimPrefix(key, keyNode))
+		delete(c.nodes, strings.TrimPrefix(key, keyNode))
+	case strings.HasPrefix(key, keyMark):
+		delete(c.marks, strings.TrimPrefix(key, keyMark))
+	case strings.HasPrefix(key, keyIntent):
+		delete(c.intents, strings.TrimPrefix(key, keyIntent))
+	}
+}
+
+// mine tells whether this node is the home of the job's team.
+func (c *Core) mine(j *job.Job) bool {
+	t := c.teamBy[j.Team]
+	return t != nil && t.acting
+}
+
+func (c *Core) chunkSize() int {
+	return max(1, int(c.cfg.Params.State.ValueKB*1024)/64)
+}
+
+// jobWritten takes over what another controller, or an earlier home, stored of
+// a job.
+func (c *Core) jobWritten(item protocol.KeyValue) error {
+	teamName, id, chunk, ok := splitActive(item.Key)
+	t := c.teamBy[teamName]
+	if !ok || t == nil {
+		return nil
+	}
+	j := c.jobs[id]
+	if chunk > 0 {
+		return c.chunkWritten(j, id, chunk, item)
+	}
+	if j != nil && (t.acting || j.Version >= item.Version) {
+		return nil
+	}
+	if _, final := c.finals[id]; final && t.acting && j == nil {
+		return nil // an old event about a job that this node has ended since
+	}
+	if j == nil {
+		j = job.New(job.Spec{ID: id, Team: teamName}, c.chunkSize(), c.now.Steady)
+	}
+	if err := j.LoadHead(item.Value); err != nil {
+		return err
+	}
+	j.Version = item.Version
+	if c.jobs[id] == nil {
+		c.addJob(t, j)
+		for n, o := range c.orphans[id] {
+			if err := j.LoadChunk(n, o.Value); err != nil {
+				return err
+			}
+		}
+		delete(c.orphans, id)
+	}
+	c.sched.dirty = true
+	return nil
+}
+
+func (c *Core) chunkWritten(j *job.Job, id string, chunk int, item protocol.KeyValue) error {
+	switch {
+	case j == nil:
+		// Pages and events come ordered by key or revision; keep the chunk
+		// until its head is here.
+		if c.orphans[id] == nil {
+			c.orphans[id] = map[int]protocol.KeyValue{}
+		}
+		c.orphans[id][chunk] = item
+		return nil
+	case c.mine(j):
+		return nil
+	}
+	return j.LoadChunk(chunk, item.Value)
+}
+
+func (c *Core) addJob(t *team, j *job.Job) {
+	c.jobs[j.ID] = j
+	t.jobs[j.ID] = j
+	c.sched.dirty = true
+}
+
+func (c *Core) forgetJob(j *job.Job) {
+	delete(c.jobs, j.ID)
+	if t := c.teamBy[j.Team]; t != nil {
+		delete(t.jobs, j.ID)
+	}
+	c.sched.dirty = true
+}
+
+// remember caches a final state, which never changes.
+func (c *Core) remember(id string, s protocol.JobState) {
+	if len(c.finals) >= finalsKept {
+		clear(c.finals)
+	}
+	c.finals[id] = s
+}
--- /dev/null
+++ b/internal/core/schedule.go
@@ -0,0 +1,370 @@
+package core
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"pepperlever/internal/core/fairness"
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/placement"
+	"pepperlever/internal/core/worker"
+)
+
+// recordInterval is how often records are exchanged, as the design says.
+const recordInterval = 2 * time.Second
+
+// schedState is what placing keeps between steps.
+type schedState struct {
+	dirty bool
+	next  time.Duration
+	// storeAfter holds back the storing of jobs after a refusal.
+	storeAfter time.Duration
+	deliver    map[string]bool
+	asked      map[string]bool
+	condemned  map[string]time.Duration
+	// unplaced is the demand that found no room in the last round.
+	unplaced []demand
+}
+
+// demand is a number of like tasks without a place.
+type demand struct {
+	spec  *job.Spec
+	tasks int
+}
+
+// integrate adds the time since the last step to the records of this node's
+// teams.
+func (c *Core) integrate() {
+	if c.sched.deliver == nil {
+		c.sched.deliver, c.sched.asked = map[string]bool{}, map[string]bool{}
+		c.sched.condemned = map[string]time.Duration{}
+	}
+	dt := c.now.Steady - c.timers.last
+	if dt < recordInterval/8 {
+		return
+	}
+	c.timers.last = c.now.Steady
+	total := c.totalCapacity()
+	shares := fairness.Shares(total, c.weights())
+	window := c.now.Wall / int64(c.policy.WindowS*1000)
+	for i, t := range c.teams {
+		if t.acting {
+			use := c.used(t)
+			ask := use.Plus(c.waitingNeed(t), 1)
+			t.record.Advance(window, min(dt, recordInterval).Seconds(), vector(use), vector(ask), shares[i])
+		}
+	}
+}
+
+func vector(r job.Resources) fairness.Vector {
+	return fairness.Vector{r.CPUs, r.GPUs, r.MemoryGB}
+}
+
+func (c *Core) weights() []float64 {
+	out := make([]float64, len(c.teams))
+	for i, t := range c.teams {
+		out[i] = t.CPUs
+	}
+	return out
+}
+
+func (c *Core) totalCapacity() fairness.Vector {
+	var sum job.Resources
+	for _, m := range c.machines {
+		sum = sum.Plus(capacity(c.types[m.Type]), 1)
+	}
+	return vector(sum)
+}
+
+func (c *Core) used(t *team) job.Resources {
+	var sum job.Resources
+	for _, j := range t.jobs {
+		sum = sum.Plus(j.Need, float64(len(j.Bound)))
+	}
+	return sum
+}
+
+func (c *Core) waitingNeed(t *team) job.Resources {
+	var sum job.Resources
+	for _, j := range t.jobs {
+		sum = sum.Plus(j.Need, float64(j.Waiting()))
+	}
+	return sum
+}
+
+// hosts lists the machines that can take tasks. Every node makes the same list
+// from the same replica, so their plans differ little.
+func (c *Core) hosts() []*placement.Host {
+	load := c.bindLoad()
+	var out []*placement.Host
+	for _, id := range slices.Sorted(maps.Keys(c.machines)) {
+		m := c.machines[id]
+		if !c.usable(m) {
+			continue
+		}
+		size := capacity(c.types[m.Type])
+		used, busy := load[id]
+		h := &placement.Host{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Size: size,
+			Room: size.Plus(used, -1), Warm: m.HasImage, Empty: !busy, Lasts: -1, Penalty: float64(m.Errors)}
+		if m.NoticeAt > 0 {
+			h.Lasts = (m.NoticeAt - c.now.Steady).Seconds()
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// bindLoad sums what is bound to each machine.
+func (c *Core) bindLoad() map[string]job.Resources {
+	out := map[string]job.Resources{}
+	for _, j := range c.jobs {
+		for _, b := range j.Bound {
+			out[b.Machine] = out[b.Machine].Plus(j.Need, 1)
+		}
+	}
+	return out
+}
+
+// usable tells whether new tasks may go to a machine: it is heard, does not
+// close, and its controller can be told.
+func (c *Core) usable(m *worker.Machine) bool {
+	if _, closing := c.marks[m.Machine]; closing || m.Term == 0 {
+		return false
+	}
+	if _, closing := c.rental.closing[m.Machine]; closing {
+		return false
+	}
+	if _, known := c.types[m.Type]; !known {
+		return false
+	}
+	quiet := c.now.Steady - m.Seen
+	return quiet < 2*c.reportInterval()+c.reportInterval()/2 && m.Errors < 3 &&
+		(m.FullAt == 0 || c.now.Steady-m.FullAt > c.reportInterval()/2)
+}
+
+// turn is one team's part in a round of placing.
+type turn struct {
+	team  *team
+	jobs  []*job.Job
+	used  job.Resources
+	zones map[string]placement.Zones
+}
+
+// schedule places waiting tasks. The plan covers the teams of all controllers
+// in the order of the ranking; this node binds those of its own teams and
+// leaves the room of the others to their homes.
+func (c *Core) schedule() {
+	defer c.deliverAll()
+	interval := c.reportInterval() / 30
+	if !c.loaded || c.types == nil || c.now.Steady < c.sched.next {
+		return
+	}
+	if !c.sched.dirty && c.now.Steady < c.sched.next+10*interval {
+		return
+	}
+	c.sched.next, c.sched.dirty = c.now.Steady+interval, false
+	c.sched.unplaced = nil
+	turns, ranked := c.turns()
+	if len(turns) == 0 {
+		return
+	}
+	c.place(turns, ranked, c.hosts())
+}
+
+// turns lists the teams that wait, with their jobs in order.
+func (c *Core) turns() ([]*turn, []fairness.Team) {
+	var turns []*turn
+	var ranked []fairness.Team
+	weights := c.weights()
+	for i, t := range c.teams {
+		u := &turn{team: t, used: c.used(t), zones: map[string]placement.Zones{}}
+		overdue := false
+		for _, j := range t.jobs {
+			if j.Waiting() > 0 && c.now.Steady >= j.NotBefore && j.Version > 0 {
+				u.jobs = append(u.jobs, j)
+				overdue = overdue || c.now.Steady-j.WaitingSince > seconds(c.policy.TimeoutS)
+			}
+		}
+		if len(u.jobs) == 0 {
+			continue
+		}
+		slices.SortFunc(u.jobs, func(a, b *job.Job) int {
+			return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(dueAt(a), dueAt(b)), cmp.Compare(a.ID, b.ID))
+		})
+		turns = append(turns, u)
+		ranked = append(ranked, fairness.Team{Record: t.record, Weight: max(weights[i], 1), Overdue: overdue})
+	}
+	return turns, ranked
+}
+
+// dueAt is the time of day at which a job would have to start to be in time.
+func dueAt(j *job.Job) int64 {
+	slack := j.DeadlineS - j.EstimateS
+	if j.DeadlineS == 0 {
+		slack = 3 * j.EstimateS
+	}
+	return j.Accepted + int64(slack*1000)
+}
+
+// place runs a round: the ranking picks a team, the team's first job that fits
+// gets a place, and so on until no team has anything that fits.
+func (c *Core) place(turns []*turn, ranked []fairness.Team, hosts []*placement.Host) {
+	total := c.totalCapacity()
+	skip := make([]bool, len(turns))
+	for {
+		i := fairness.Next(ranked, skip, total)
+		if i < 0 {
+			return
+		}
+		need, ok := c.placeNext(turns[i], hosts)
+		if !ok {
+			skip[i] = true
+			continue
+		}
+		ranked[i].Overdue = false
+		ranked[i].Record.Use = ranked[i].Record.Use.Add(vector(need), recordInterval.Seconds())
+		ranked[i].Record.Base = ranked[i].Record.Base.Add(vector(need), 0)
+	}
+}
+
+// placeNext places one allocation of a team: a task, or a whole gang. Jobs that
+// find no room leave their turn to the team's next.
+func (c *Core) placeNext(u *turn, hosts []*placement.Host) (job.Resources, bool) {
+	for len(u.jobs) > 0 {
+		j := u.jobs[0]
+		n := 1
+		if j.Kind == job.Gang {
+			n = j.Waiting()
+		}
+		need := job.Resources{}.Plus(j.Need, float64(n))
+		if c.placeable(u, j, need) {
+			if chosen := c.choose(u, j, n, hosts); chosen != nil {
+				u.used = u.used.Plus(need, 1)
+				c.bindAll(u, j, chosen)
+				if c.plannedWaiting(u, j) == 0 {
+					u.jobs = u.jobs[1:]
+				}
+				return need, true
+			}
+			c.unplaced(u, j)
+		}
+		u.jobs = u.jobs[1:]
+	}
+	return job.Resources{}, false
+}
+
+// placeable checks the team's limit. Bindings that are not settled count.
+func (c *Core) placeable(u *turn, j *job.Job, need job.Resources) bool {
+	if j.Kind == job.Gang && len(j.Bound) > 0 {
+		return false // the old attempt has to be gone first
+	}
+	return withinLimit(u.team, u.used.Plus(need, 1)) && c.roomInTxn(j)
+}
+
+// roomInTxn keeps the machines of bindings that are not stored yet within the
+// conditions that one transaction may have.
+func (c *Core) roomInTxn(j *job.Job) bool {
+	machines := map[string]bool{}
+	for _, b := range j.Bound {
+		if !b.Stored {
+			machines[b.Machine] = true
+		}
+	}
+	return len(machines) < 4*c.cfg.Params.State.TxnOps-4
+}
+
+// unplaced notes demand for the renting of machines, up to the team's limit.
+func (c *Core) unplaced(u *turn, j *job.Job) {
+	n := c.plannedWaiting(u, j)
+	used := u.used
+	fit := 0
+	for fit < n && withinLimit(u.team, used.Plus(j.Need, 1)) {
+		used = used.Plus(j.Need, 1)
+		fit++
+	}
+	u.used = used
+	c.sched.unplaced = append(c.sched.unplaced, demand{&j.Spec, fit})
+}
+
+// plannedWaiting is the number of tasks that this round has not placed yet.
+func (c *Core) plannedWaiting(u *turn, j *job.Job) int {
+	if u.team.acting {
+		return j.Waiting()
+	}
+	planned := 0
+	for _, n := range u.zones[j.ID+"#"] {
+		planned += n
+	}
+	return j.Waiting() - planned
+}
+
+// choose finds hosts for n tasks of a job and takes their room.
+func (c *Core) choose(u *turn, j *job.Job, n int, hosts []*placement.Host) []*placement.Host {
+	zones := u.zones[j.ID]
+	if zones == nil {
+		zones = placement.Zones{}
+		for _, b := range j.Bound {
+			if m := c.machines[b.Machine]; m != nil {
+				zones[m.Zone]++
+			} else {
+				zones["?"]++ // a zone that is not known counts as another
+			}
+		}
+		u.zones[j.ID] = zones
+	}
+	if n > 1 || j.Kind == job.Gang {
+		return placement.Gang(&j.Spec, n, hosts, zones)
+	}
+	h := placement.Choose(&j.Spec, hosts, zones)
+	if h == nil {
+		return nil
+	}
+	h.Room = h.Room.Plus(j.Need, -1)
+	h.Empty = false
+	zones[h.Zone]++
+	return []*placement.Host{h}
+}
+
+// bindAll binds the next waiting tasks of a job to the chosen hosts, if this
+// node is the team's home.
+func (c *Core) bindAll(u *turn, j *job.Job, chosen []*placement.Host) {
+	if !u.team.acting {
+		key := j.ID + "#"
+		if u.zones[key] == nil {
+			u.zones[key] = placement.Zones{}
+		}
+		u.zones[key][""] += len(chosen)
+		return
+	}
+	j.Attempt++
+	j.Urgent = true
+	i := -1
+	for _, h := range chosen {
+		i = j.NextWaiting(i + 1)
+		m := c.machines[h.ID]
+		j.Bind(i, &job.Binding{Machine: h.ID, Attempt: j.Attempt, Term: m.Term, Session: m.Session, Since: c.now.Steady})
+		m.IdleSince = c.now.Steady
+	}
+	j.WaitingSince = c.now.Steady
+}
+
+// deliverAll sends the starts and stops that this step has queued.
+func (c *Core) deliverAll() {
+	for id := range c.sched.deliver {
+		if w := c.own[id]; w != nil {
+			c.deliver(id, w)
+		}
+		delete(c.sched.deliver, id)
+	}
+}
+
+// storeRecords keeps the records where a crash does not lose them.
+func (c *Core) storeRecords() {
+	for _, t := range c.teams {
+		if t.acting && c.storeOK {
+			c.txn(recordTxn(t), false, func(StoreReply) {})
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/settle.go
@@ -0,0 +1,320 @@
+package core
+
+import (
+	"time"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/worker"
+	"pepperlever/internal/protocol"
+)
+
+// startBound sends the starts of bindings that the store now holds. A gang's
+// start together, once all of them are stored.
+func (c *Core) startBound(j *job.Job) {
+	if j.Cancelled {
+		return
+	}
+	if j.Kind == job.Gang {
+		for _, b := range j.Bound {
+			if !b.Stored {
+				return
+			}
+		}
+	}
+	for i, b := range j.Bound {
+		if !b.Stored || b.Sent || b.Stopping {
+			continue
+		}
+		m := c.machines[b.Machine]
+		if m == nil || m.Term != b.Term || m.Session != b.Session {
+			c.unbind(j, i) // would be refused, and was never sent
+			continue
+		}
+		b.Sent, b.Since = true, c.now.Steady
+		c.log(Debug, "start sent", "task", j.TaskID(i), "attempt", b.Attempt, "machine", b.Machine)
+		c.tell(m.Node, PeerMsg{Start: &Start{Machine: b.Machine, Task: j.TaskID(i), Attempt: b.Attempt,
+			Term: b.Term, Session: b.Session, Need: j.Need}})
+	}
+}
+
+// refused ends a binding whose start was never forwarded and never will be.
+func (c *Core) refused(r Refusal) {
+	id, i, ok := job.SplitTask(r.Task)
+	j := c.jobs[id]
+	if !ok || j == nil || !c.mine(j) {
+		return
+	}
+	if b := j.Bound[i]; b != nil && b.Stored && b.Attempt == r.Attempt && b.Machine == r.Machine {
+		c.log(Debug, "start was refused", "task", r.Task, "machine", r.Machine)
+		c.unbind(j, i)
+	}
+}
+
+// settleMachine weighs the newest report of a machine against the bindings on
+// it, and has tasks that nobody wants stopped and forgotten.
+func (c *Core) settleMachine(m *worker.Machine) {
+	for _, t := range m.Tasks {
+		id, i, ok := job.SplitTask(t.Task)
+		if !ok {
+			continue
+		}
+		j := c.jobs[id]
+		if j == nil {
+			c.stray(m, t, id)
+			continue
+		}
+		c.noteImage(m, j, t)
+		if !c.mine(j) {
+			continue
+		}
+		if b := j.Bound[i]; b == nil || b.Attempt != t.Attempt || b.Machine != m.Machine {
+			c.leftover(j, m, t)
+		}
+	}
+	for _, t := range c.teams {
+		if !t.acting {
+			continue
+		}
+		for _, j := range t.jobs {
+			for i, b := range j.Bound {
+				if b.Machine == m.Machine && b.Stored {
+					c.settle(j, i, b, m)
+				}
+			}
+		}
+	}
+}
+
+// settle applies what the newest report proves about one binding.
+func (c *Core) settle(j *job.Job, i int, b *job.Binding, m *worker.Machine) {
+	verdict, t := m.Judge(j.TaskID(i), b)
+	switch verdict {
+	case worker.Present:
+		if t.State == protocol.Running && b.Started == 0 {
+			b.Started = c.now.Steady
+		}
+		b.State = t.State
+	case worker.Absent:
+		c.log(Debug, "task is gone", "task", j.TaskID(i), "machine", m.Machine, "was", b.State)
+		c.unbind(j, i)
+	case worker.Ended:
+		c.ended(j, i, b, m, t)
+	}
+}
+
+// ended records a task's end. Its room is free at once; the store learns of it
+// before the worker is told to forget the task.
+func (c *Core) ended(j *job.Job, i int, b *job.Binding, m *worker.Machine, t protocol.TaskReport) {
+	switch t.Why {
+	case protocol.WhyDone:
+		c.log(Debug, "task done", "task", t.Task, "machine", m.Machine)
+		j.Finish(i)
+		j.Failures, m.Errors = 0, 0
+		c.sched.dirty = true
+		return
+	case protocol.WhyError:
+		m.Errors++
+		c.backOff(j)
+		c.log(Info, "task failed", "task", t.Task, "machine", m.Machine, "failures", j.Failures)
+	case protocol.WhyUnknown:
+		c.backOff(j)
+	case protocol.WhyNoRoom, protocol.WhyBusy:
+		m.FullAt = c.now.Steady
+	}
+	c.unbind(j, i)
+}
+
+// backOff delays the next start of a job whose tasks keep failing, so that a
+// job submitted with a mistake does not burn the fleet.
+func (c *Core) backOff(j *job.Job) {
+	j.Failures++
+	if j.Failures > 2 {
+		pause := c.reportInterval() << min(j.Failures-3, 5)
+		j.NotBefore = c.now.Steady + pause
+	}
+}
+
+// leftover deals with a reported task that no binding stands for. It can be
+// forgotten once the store holds what became of it.
+func (c *Core) leftover(j *job.Job, m *worker.Machine, t protocol.TaskReport) {
+	cmd := protocol.Command{Op: protocol.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: new(float64)}
+	if t.State == protocol.Exited {
+		if j.Dirty() || j.InFlight {
+			return
+		}
+		cmd = protocol.Command{Op: protocol.OpForget, Task: t.Task, Attempt: t.Attempt}
+	}
+	c.tell(m.Node, PeerMsg{Order: &Order{Machine: m.Machine, Command: cmd}})
+}
+
+// reapJob has the exited tasks of a job forgotten after a store write.
+func (c *Core) reapJob(j *job.Job) {
+	if j.Dirty() {
+		return
+	}
+	for _, m := range c.machines {
+		for _, t := range m.Tasks {
+			id, i, ok := job.SplitTask(t.Task)
+			if !ok || id != j.ID || t.State != protocol.Exited {
+				continue
+			}
+			if b := j.Bound[i]; b == nil || b.Attempt != t.Attempt || b.Machine != m.Machine {
+				c.leftover(j, m, t)
+			}
+		}
+	}
+}
+
+// stray deals with a task of a job that is not known as active: only the
+// machine's controller acts, and only once the store says the job is final.
+func (c *Core) stray(m *worker.Machine, t protocol.TaskReport, id string) {
+	if m.Node != c.cfg.Node {
+		return
+	}
+	if _, final := c.finals[id]; !final {
+		if c.sched.asked[id] {
+			return
+		}
+		c.sched.asked[id] = true
+		c.get(keyState+id, func(r StoreReply) {
+			delete(c.sched.asked, id)
+			if r.Outcome == Applied {
+				c.userState(id, r.Item)
+			}
+		})
+		return
+	}
+	cmd := protocol.Command{Op: protocol.OpForget, Task: t.Task, Attempt: t.Attempt}
+	if t.State != protocol.Exited {
+		cmd = protocol.Command{Op: protocol.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: new(float64)}
+	}
+	c.order(Order{Machine: m.Machine, Command: cmd})
+}
+
+// marked notes that a machine takes no bindings; if it is gone for good, that
+// ends every binding on it.
+func (c *Core) marked(machine string, k mark) {
+	if old, ok := c.marks[machine]; ok && old.version >= k.version {
+		return
+	}
+	c.marks[machine] = k
+	c.sched.dirty = true
+	if !k.Gone {
+		return
+	}
+	delete(c.machines, machine)
+	for _, t := range c.teams {
+		if !t.acting {
+			continue
+		}
+		for _, j := range t.jobs {
+			for i, b := range j.Bound {
+				if b.Machine == machine && b.Stored {
+					c.log(Debug, "task is gone with its machine", "task", j.TaskID(i), "machine", machine)
+					c.unbind(j, i)
+				}
+			}
+		}
+	}
+}
+
+// settleAll looks at every binding of this node's teams once in a while: what
+// stays unproven is fenced, what must go is stopped, and what does not go is
+// given back with its machine.
+func (c *Core) settleAll() {
+	for _, t := range c.teams {
+		if !t.acting {
+			continue
+		}
+		for _, j := range t.jobs {
+			for i, b := range j.Bound {
+				if b.Stored {
+					c.tendBinding(j, i, b)
+				}
+			}
+			if j.Cancelled {
+				c.stopCancelled(j)
+			}
+		}
+	}
+}
+
+func (c *Core) tendBinding(j *job.Job, i int, b *job.Binding) {
+	neverSent := j.Cancelled && !b.Sent
+	if c.marks[b.Machine].Gone || neverSent {
+		c.unbind(j, i)
+		return
+	}
+	m := c.machines[b.Machine]
+	if m == nil {
+		if c.now.Steady-b.Since > c.silence() {
+			c.condemn(b.Machine, "unknown")
+		}
+		return
+	}
+	c.settle(j, i, b, m)
+	if j.Bound[i] != b {
+		return
+	}
+	unproven := b.State == "" || m.Session != b.Session
+	if _, there := m.Find(j.TaskID(i), b.Attempt); !there {
+		unproven = true
+	}
+	// The start, its answer or the task's report may be lost. A newer term
+	// makes the next report tell for sure.
+	if unproven && b.Sent && c.now.Steady-b.Since > c.reportInterval() && c.now.Steady-b.FencedAt > c.reportInterval() {
+		b.FencedAt = c.now.Steady
+		c.tell(m.Node, PeerMsg{Fence: &Fence{Machine: b.Machine, Above: b.Term}})
+	}
+}
+
+// silence is how long a machine may say nothing before it is given up: a
+// worker needs a time-out and a pause for each node that it tries in vain.
+func (c *Core) silence() time.Duration {
+	w := c.cfg.Params.Workers
+	return max(seconds(w.LeaseS)/2+seconds(w.ReportS), 6*seconds(w.ReportS))
+}
+
+// stopCancelled halts what is left of a cancelled job, and has the machine
+// given back when half of the allowed time was not enough.
+func (c *Core) stopCancelled(j *job.Job) {
+	late := c.now.Steady-j.CancelledAt > seconds(c.cfg.Params.Workers.CancelS)/2
+	for i, b := range j.Bound {
+		if !b.Stored {
+			continue
+		}
+		c.stop(j, i, b, 0)
+		if late {
+			c.condemn(b.Machine, "cancelled task does not end")
+		}
+	}
+}
+
+// stop asks for a task to end, with grace to save, and repeats it until a
+// report shows the end.
+func (c *Core) stop(j *job.Job, i int, b *job.Binding, grace float64) {
+	if b.Stopping && c.now.Steady-b.StopSent < c.reportInterval() {
+		return
+	}
+	b.Stopping, b.StopSent = true, c.now.Steady
+	if m := c.machines[b.Machine]; m != nil {
+		cmd := protocol.Command{Op: protocol.OpStop, Task: j.TaskID(i), Attempt: b.Attempt, GraceS: &grace}
+		c.tell(m.Node, PeerMsg{Order: &Order{Machine: b.Machine, Command: cmd}})
+	}
+}
+
+// condemn asks the renter to give a machine back with all that is on it.
+func (c *Core) condemn(machine, why string) {
+	if at, ok := c.sched.condemned[machine]; ok && c.now.Steady-at < c.reportInterval() {
+		return
+	}
+	c.sched.condemned[machine] = c.now.Steady
+	if c.fleet.home != "" {
+		c.tell(c.fleet.home, PeerMsg{Condemn: &Condemn{Machine: machine, Why: why}})
+	}
+}
+
+// noteImage remembers that a machine has an image.
+func (c *Core) noteImage(m *worker.Machine, j *job.Job, t protocol.TaskReport) {
+	m.UseImage(j.Image, j.ImageGB, c.types[m.Type].CacheGB, c.now.Steady)
+}
--- /dev/null
+++ b/internal/core/users.go
@@ -0,0 +1,278 @@
+package core
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
+)
+
+// retryAfter is the pause in whole seconds that a user is asked for.
+const retryAfter = 1
+
+func (c *Core) answer(req uint64, status int, body any) {
+	c.emit(Answer{Req: req, Status: status, Body: body})
+}
+
+// unavailable answers at once that the node cannot tell now.
+func (c *Core) unavailable(req uint64) {
+	c.emit(Answer{Req: req, Status: http.StatusServiceUnavailable, RetryAfter: retryAfter,
+		Body: protocol.Problem{Error: "try again later"}})
+}
+
+// userTxn and userGet are txn and get for requests that a user waits for.
+func (c *Core) userTxn(t protocol.Txn, done func(StoreReply)) {
+	c.nextID++
+	c.waits[c.nextID] = done
+	c.emit(StoreTxn{ID: c.nextID, Txn: t, Quick: true})
+}
+
+func (c *Core) userGet(key string, done func(StoreReply)) {
+	c.nextID++
+	c.waits[c.nextID] = done
+	c.emit(StoreGet{ID: c.nextID, Key: key, Quick: true})
+}
+
+// submit accepts a job by one conditional write; only then is it accepted.
+func (c *Core) submit(m Submit) {
+	s, err := job.Parse(m.Body, int(c.cfg.Params.State.ValueKB*1024)/4)
+	if err != nil {
+		c.answer(m.Req, http.StatusBadRequest, protocol.Problem{Error: err.Error()})
+		return
+	}
+	if f, ok := c.finals[s.ID]; ok {
+		c.answer(m.Req, http.StatusOK, f)
+		return
+	}
+	if c.jobs[s.ID] != nil {
+		c.repeated(m.Req, s.ID)
+		return
+	}
+	t := c.teamBy[s.Team]
+	if t != nil && c.types == nil || !c.loaded {
+		c.unavailable(m.Req)
+		return
+	}
+	if why := c.neverRuns(t, s); why != "" {
+		c.refuse(m.Req, s.ID, why)
+		return
+	}
+	c.accept(m.Req, t, s)
+}
+
+// refuse answers 422, unless the job was accepted earlier: the settings or the
+// catalogue may have changed since, and an accepted job is never refused.
+func (c *Core) refuse(req uint64, id, why string) {
+	c.userGet(keyState+id, func(r StoreReply) {
+		switch r.Outcome {
+		case Missing:
+			c.answer(req, http.StatusUnprocessableEntity, protocol.Problem{Error: why})
+		case Applied:
+			c.answerState(req, id, r.Item)
+		default:
+			c.unavailable(req)
+		}
+	})
+}
+
+func (c *Core) accept(req uint64, t *team, s *job.Spec) {
+	s.Accepted = c.now.Wall
+	j := job.New(*s, c.chunkSize(), c.now.Steady)
+	state, active := keyState+s.ID, activeKey(t.Name, s.ID)
+	c.userTxn(protocol.Txn{
+		If: []protocol.Condition{{Key: state}, {Key: active}},
+		Then: []protocol.Change{
+			put(state, stateKey{Team: t.Name, State: protocol.Queued, Tasks: s.Tasks}),
+			{Put: active, Value: j.Head()},
+		},
+	}, func(r StoreReply) {
+		switch r.Outcome {
+		case Applied:
+			c.log(Debug, "job accepted", "job", s.ID, "team", t.Name)
+			if c.jobs[s.ID] == nil && c.finals[s.ID].ID == "" {
+				j.Version = r.Revision
+				c.addJob(t, j)
+			}
+			c.answer(req, http.StatusCreated, protocol.JobState{ID: s.ID, State: protocol.Queued})
+		case Conflict:
+			c.repeated(req, s.ID)
+		default:
+			c.unavailable(req)
+		}
+	})
+}
+
+// neverRuns tells why a job can never run, or nothing.
+func (c *Core) neverRuns(t *team, s *job.Spec) string {
+	if t == nil {
+		return "team is unknown"
+	}
+	n := 1
+	if s.Kind != job.Array {
+		n = s.Tasks
+	}
+	if !withinLimit(t, job.Resources{}.Plus(s.Need, float64(n))) {
+		return "job needs more than the limit of its team"
+	}
+	if s.Zone != "" && !slices.Contains(c.cfg.Params.Zones, s.Zone) {
+		return "zone is unknown"
+	}
+	for _, typ := range c.types {
+		if s.Need.Fits(capacity(typ)) && (s.Types == nil || slices.Contains(s.Types, typ.Name)) &&
+			(s.Zone == "" || len(typ.Zones) == 0 || slices.Contains(typ.Zones, s.Zone)) {
+			return ""
+		}
+	}
+	return "no allowed machine type can hold a task"
+}
+
+// withinLimit tells whether a team may use that much; a limit of 0 means none.
+func withinLimit(t *team, r job.Resources) bool {
+	return (t.CPUsMax <= 0 || r.CPUs <= t.CPUsMax+1e-6) && (t.GPUsMax <= 0 || r.GPUs <= t.GPUsMax+1e-6)
+}
+
+func capacity(t protocol.MachineType) job.Resources {
+	return job.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+}
+
+// repeated answers a submission of a known job with its current state.
+func (c *Core) repeated(req uint64, id string) {
+	c.userGet(keyState+id, func(r StoreReply) {
+		if r.Outcome == Applied {
+			c.answerState(req, id, r.Item)
+			return
+		}
+		c.unavailable(req)
+	})
+}
+
+// status answers from a read that began after the question: only a final state
+// may come from memory, since it never changes.
+func (c *Core) status(m Status) {
+	if !job.ValidID(m.ID) {
+		c.answer(m.Req, http.StatusNotFound, protocol.Problem{Error: "no such job"})
+		return
+	}
+	if f, ok := c.finals[m.ID]; ok {
+		c.answer(m.Req, http.StatusOK, f)
+		return
+	}
+	c.userGet(keyState+m.ID, func(r StoreReply) {
+		switch r.Outcome {
+		case Applied:
+			c.answerState(m.Req, m.ID, r.Item)
+		case Missing:
+			c.answer(m.Req, http.StatusNotFound, protocol.Problem{Error: "no such job"})
+		default:
+			c.unavailable(m.Req)
+		}
+	})
+}
+
+func (c *Core) answerState(req uint64, id string, item protocol.KeyValue) {
+	s, ok := c.userState(id, item)
+	if !ok {
+		c.unavailable(req)
+		return
+	}
+	c.answer(req, http.StatusOK, s)
+}
+
+// userState turns a stored state into what the user is told; the counts of a
+// job that is not final are for display.
+func (c *Core) userState(id string, item protocol.KeyValue) (protocol.JobState, bool) {
+	var k stateKey
+	if err := json.Unmarshal(item.Value, &k); err != nil {
+		c.log(Error, "stored state is not understood", "job", id, "error", err.Error())
+		return protocol.JobState{}, false
+	}
+	s := protocol.JobState{ID: id, State: k.State}
+	switch {
+	case k.State == protocol.Done:
+		s.Done = k.Tasks
+		c.remember(id, s)
+	case k.State == protocol.Cancelled:
+		c.remember(id, s)
+	default:
+		if j := c.jobs[id]; j != nil {
+			s.Done, s.Running = min(j.Done.Len(), j.Tasks-1), c.running(j)
+		}
+		if s.Running > 0 {
+			s.State = protocol.Running
+		}
+	}
+	return s, true
+}
+
+func (c *Core) running(j *job.Job) int {
+	n := 0
+	for i, b := range j.Bound {
+		if m := c.machines[b.Machine]; m != nil {
+			if t, ok := m.Find(j.TaskID(i), b.Attempt); ok && t.State == protocol.Running {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// cancel stores the cancellation, and with it the key that no binding or
+// completion of the job can pass any more, before it answers.
+func (c *Core) cancel(m Cancel) {
+	if !job.ValidID(m.ID) {
+		c.answer(m.Req, http.StatusNotFound, protocol.Problem{Error: "no such job"})
+		return
+	}
+	c.userGet(keyState+m.ID, func(r StoreReply) {
+		var k stateKey
+		switch {
+		case r.Outcome == Missing:
+			c.answer(m.Req, http.StatusNotFound, protocol.Problem{Error: "no such job"})
+		case r.Outcome != Applied || json.Unmarshal(r.Item.Value, &k) != nil:
+			c.unavailable(m.Req)
+		case k.State == protocol.Done || k.State == protocol.Cancelled:
+			c.answerState(m.Req, m.ID, r.Item)
+		default:
+			c.storeCancel(m, k, r.Item.Version)
+		}
+	})
+}
+
+func (c *Core) storeCancel(m Cancel, k stateKey, version uint64) {
+	state := keyState + m.ID
+	c.userTxn(protocol.Txn{
+		If: []protocol.Condition{{Key: state, Version: version}},
+		Then: []protocol.Change{
+			put(state, stateKey{State: protocol.Cancelled, Tasks: k.Tasks}),
+			put(cancelKey(k.Team, m.ID), struct{}{}),
+		},
+	}, func(r StoreReply) {
+		if r.Outcome != Applied {
+			c.unavailable(m.Req) // the repeated request reads what came of it
+			return
+		}
+		s := protocol.JobState{ID: m.ID, State: protocol.Cancelled}
+		c.remember(m.ID, s)
+		c.log(Debug, "job cancelled", "job", m.ID)
+		c.markCancelled(c.jobs[m.ID])
+		c.answer(m.Req, http.StatusOK, s)
+	})
+}
+
+// health tells the load balancer to look elsewhere when this node alone cannot
+// reach the state service. In an outage that everyone sees it stays up, since
+// refusing at once serves users better than an empty list of nodes.
+func (c *Core) health(m Health) {
+	alone := false
+	for _, p := range c.peers {
+		alone = alone || p.connected && p.storeOK && c.now.Steady-p.seen < c.reportInterval()
+	}
+	if !c.loaded || c.types == nil || !c.storeOK && alone {
+		c.unavailable(m.Req)
+		return
+	}
+	c.answer(m.Req, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/internal/httpc/httpc.go
@@ -0,0 +1,74 @@
+// Package httpc is the HTTP client of the program: one request, JSON both
+// ways, never sent twice.
+package httpc
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+	"github.com/valyala/fasthttp"
+)
+
+// ErrUnsent marks failures after which the request was certainly not sent.
+var ErrUnsent = errors.New("request was not sent")
+
+// Client speaks to any number of addresses.
+type Client struct{ http *fasthttp.Client }
+
+// New makes a client whose requests take at most about timeout.
+func New(timeout time.Duration, connsPerHost int) *Client {
+	return &Client{http: &fasthttp.Client{
+		Dial: func(addr string) (net.Conn, error) {
+			conn, err := net.DialTimeout("tcp4", addr, timeout)
+			if err != nil {
+				return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
+			}
+			return conn, nil
+		},
+		ReadTimeout: timeout, WriteTimeout: timeout, MaxConnWaitTimeout: timeout,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxConnsPerHost:           connsPerHost,
+		DisablePathNormalizing:    true,
+		NoDefaultUserAgentHeader:  true,
+	}}
+}
+
+// Call sends one request to addr and decodes the JSON answer into out.
+func (c *Client) Call(method, addr, path string, body, out any) (int, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + addr + path)
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return 0, err
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBody(raw)
+	}
+	if err := c.http.Do(req, res); err != nil {
+		return 0, err
+	}
+	if out != nil && len(res.Body()) > 0 {
+		if err := json.Unmarshal(res.Body(), out); err != nil && res.StatusCode() == fasthttp.StatusOK {
+			return 0, err
+		}
+	}
+	return res.StatusCode(), nil
+}
+
+// Query builds a path with escaped arguments, given as names and values.
+func Query(path string, args ...string) string {
+	a := fasthttp.AcquireArgs()
+	defer fasthttp.ReleaseArgs(a)
+	for i := 0; i+1 < len(args); i += 2 {
+		a.Set(args[i], args[i+1])
+	}
+	return path + "?" + a.String()
+}
--- /dev/null
+++ b/internal/protocol/protocol.go
@@ -0,0 +1,209 @@
+// Package protocol holds the wire types of every outside interface. Wire names
+// appear here and nowhere else; the rest of the program speaks of jobs, tasks,
+// attempts, gangs, leases, fencing tokens and spot machines.
+package protocol
+
+// Paths of the interfaces.
+const (
+	PathJobs     = "/work"
+	PathCancel   = "withdraw"
+	PathHealth   = "/up"
+	PathReport   = "/agent/beat"
+	PathMetrics  = "/metrics"
+	PathCommands = "/do"
+	PathTypes    = "/catalog"
+	PathMachines = "/rentals"
+	PathRelease  = "/rentals/release"
+	PathKV       = "/kv"
+	PathTxn      = "/multi"
+	PathLeases   = "/holds"
+	PathRenew    = "renew"
+	PathWatch    = "/changes"
+	// JobPrefix starts every well-formed job id.
+	JobPrefix = "req-"
+)
+
+// MaxBody is the largest request body any interface accepts.
+const MaxBody = 64 << 10
+
+// Submission is a job as its user describes it. Pointers tell a missing field
+// from a zero one.
+type Submission struct {
+	ID          *string   `json:"uid"`
+	Class       *string   `json:"leverClass"`
+	Team        *string   `json:"crew"`
+	Kind        *string   `json:"shape"`
+	Priority    *string   `json:"urgency"`
+	Tasks       *int64    `json:"pieces"`
+	CPUs        *float64  `json:"vcpus"`
+	GPUs        *float64  `json:"accelerators"`
+	MemoryGB    *float64  `json:"memoryGb"`
+	Image       *string   `json:"bundle"`
+	ImageGB     *float64  `json:"pullGb"`
+	Types       *[]string `json:"builds"`
+	Zone        *string   `json:"yard"`
+	OneZone     *bool     `json:"samePlace"`
+	Spread      *bool     `json:"spread"`
+	Spot        *bool     `json:"loaners"`
+	EstimateS   *float64  `json:"guessS"`
+	CheckpointS *float64  `json:"markEveryS"`
+	SaveS       *float64  `json:"markCostS"`
+	DeadlineS   *float64  `json:"dueS"`
+}
+
+// Job kinds on the wire.
+const (
+	KindArray   = "batch"
+	KindGang    = "group"
+	KindService = "service"
+)
+
+// Job states on the wire.
+const (
+	Queued    = "pending"
+	Running   = "running"
+	Done      = "done"
+	Cancelled = "cancelled"
+)
+
+// Priorities in falling order of urgency.
+var Priorities = []string{"critical", "urgent", "normal", "low"}
+
+// JobState answers users.
+type JobState struct {
+	ID      string `json:"uid"`
+	State   string `json:"stance"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+// Problem tells what was wrong with a request.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// Task states that a worker reports.
+const (
+	Fetching = "pulling"
+	Waiting  = "waiting"
+	Saving   = "saving"
+	Exited   = "exited"
+)
+
+// Reasons why a task exited.
+const (
+	WhyDone    = "done"
+	WhyStopped = "stopped"
+	WhyPeers   = "mates_gone"
+	WhyAlone   = "alone"
+	WhyError   = "error"
+	WhyNoRoom  = "full"
+	WhyBusy    = "busy"
+	WhyUnknown = "no_such"
+)
+
+// TaskReport is one task on a worker.
+type TaskReport struct {
+	Task    string `json:"piece"`
+	Attempt uint64 `json:"try"`
+	State   string `json:"stance"`
+	Why     string `json:"cause,omitempty"`
+	Saved   bool   `json:"stored,omitempty"`
+}
+
+// Report is what a worker says of itself.
+type Report struct {
+	Machine string       `json:"hand"`
+	Address string       `json:"address"`
+	Type    string       `json:"build"`
+	Zone    string       `json:"yard"`
+	Spot    bool         `json:"loaners"`
+	Session uint64       `json:"shift"`
+	Seq     uint64       `json:"tick"`
+	Token   uint64       `json:"baton"`
+	NoticeS *float64     `json:"recallInS,omitempty"`
+	Tasks   []TaskReport `json:"pieces"`
+}
+
+// Operations of a command.
+const (
+	OpStart  = "run"
+	OpStop   = "halt"
+	OpForget = "reap"
+)
+
+// Command is one order to a worker.
+type Command struct {
+	Op      string   `json:"call"`
+	Task    string   `json:"piece"`
+	Attempt uint64   `json:"try"`
+	GraceS  *float64 `json:"windDownS,omitempty"`
+}
+
+// Orders is the answer to a report and, with Session, the body of a direct call.
+type Orders struct {
+	Token    uint64    `json:"baton"`
+	Session  uint64    `json:"shift,omitempty"`
+	Commands []Command `json:"calls"`
+}
+
+// Redirect sends a worker to another node.
+type Redirect struct {
+	ReportTo string `json:"foreman,omitempty"`
+}
+
+// MachineType is an entry of the cloud's catalogue.
+type MachineType struct {
+	Name      string   `json:"name"`
+	CPUs      float64  `json:"vcpus"`
+	GPUs      float64  `json:"accelerators"`
+	MemoryGB  float64  `json:"memoryGb"`
+	CacheGB   float64  `json:"cacheGb"`
+	FetchGBPS float64  `json:"pullGbPerS"`
+	Price     float64  `json:"hourly"`
+	SpotPrice float64  `json:"lowPrice"`
+	BootS     float64  `json:"startupS"`
+	Zones     []string `json:"yards"`
+}
+
+// Catalogue lists the machine types.
+type Catalogue struct {
+	Types []MachineType `json:"builds"`
+}
+
+// Rental asks the cloud for machines.
+type Rental struct {
+	Request string `json:"hire"`
+	Type    string `json:"build"`
+	Zone    string `json:"yard"`
+	Spot    bool   `json:"loaners"`
+	Count   int    `json:"count"`
+}
+
+// MachineNames is both the answer to a rental and the body of a release.
+type MachineNames struct {
+	Machines []string `json:"hands"`
+}
+
+// Machine states in the cloud's list.
+const (
+	Booting = "booting"
+	Failed  = "failed"
+)
+
+// ListedMachine is one row of the cloud's list.
+type ListedMachine struct {
+	ID      string  `json:"uid"`
+	Address string  `json:"address"`
+	Type    string  `json:"build"`
+	Zone    string  `json:"yard"`
+	Spot    bool    `json:"loaners"`
+	State   string  `json:"stance"`
+	AgeS    float64 `json:"ageS"`
+}
+
+// MachineList is one page of the cloud's list.
+type MachineList struct {
+	Machines []ListedMachine `json:"hands"`
+	More     bool            `json:"truncated"`
+}
--- /dev/null
+++ b/internal/protocol/state.go
@@ -0,0 +1,79 @@
+package protocol
+
+import "github.com/segmentio/encoding/json"
+
+// Condition compares the version of a key in the state service; 0 means that
+// the key does not exist.
+type Condition struct {
+	Key     string `json:"k"`
+	Version uint64 `json:"lastTick"`
+}
+
+// Change writes or deletes one key.
+type Change struct {
+	Put    string          `json:"write,omitempty"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Lease  uint64          `json:"hold,omitempty"`
+	Delete string          `json:"drop,omitempty"`
+}
+
+// Txn is an atomic transaction of the state service.
+type Txn struct {
+	If   []Condition `json:"if"`
+	Then []Change    `json:"then,omitempty"`
+}
+
+// TxnResult answers a transaction.
+type TxnResult struct {
+	Failed   []string `json:"failed"`
+	Revision uint64   `json:"ledgerTick"`
+	Error    string   `json:"error"`
+}
+
+// KeyValue is one stored key.
+type KeyValue struct {
+	Key      string          `json:"k"`
+	Value    json.RawMessage `json:"value"`
+	Version  uint64          `json:"lastTick"`
+	Lease    uint64          `json:"hold,omitempty"`
+	Revision uint64          `json:"ledgerTick,omitempty"`
+}
+
+// KeyList is one page of keys.
+type KeyList struct {
+	Items    []KeyValue `json:"rows"`
+	More     bool       `json:"truncated"`
+	Revision uint64     `json:"ledgerTick"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Put     string          `json:"write,omitempty"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	Version uint64          `json:"lastTick"`
+	Delete  string          `json:"drop,omitempty"`
+}
+
+// Changes answers a watch.
+type Changes struct {
+	Revision uint64  `json:"ledgerTick"`
+	Events   []Event `json:"events"`
+}
+
+// LeaseGrant asks for a lease.
+type LeaseGrant struct {
+	TTLMillis int64 `json:"lifeMs"`
+}
+
+// LeaseGranted answers it.
+type LeaseGranted struct {
+	Lease uint64 `json:"hold"`
+}
+
+// Names of query arguments.
+const (
+	ArgPrefix = "starts"
+	ArgAfter  = "since"
+	ArgLimit  = "page"
+	ArgWait   = "holdMs"
+)
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,182 @@
+// Package settings reads the platform's settings file. Fields it does not know
+// are ignored; what is missing or contradictory is told in one line.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Team has a guarantee and a limit; 0 means none of either.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective restates one aim of the users.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Node    string `toml:"node"`
+	Zone    string `toml:"domain"`
+	Address string `toml:"address"`
+}
+
+// Settings is the file as a whole.
+type Settings struct {
+	Node       string `toml:"node"`
+	Zone       string `toml:"domain"`
+	Listen     string `toml:"bind"`
+	PeerListen string `toml:"peer_listen"`
+	Peers      []Peer `toml:"others"`
+	Services   struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"external"`
+	Params struct {
+		Nodes      int         `toml:"nodes"`
+		Zones      []string    `toml:"zones"`
+		Teams      []Team      `toml:"teams"`
+		Objectives []Objective `toml:"objectives"`
+		Workers    struct {
+			ReportS   float64 `toml:"report_s"`
+			LeaseS    float64 `toml:"lease_s"`
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
+			CancelS   float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Limits struct {
+			CPU            float64 `toml:"cpu"`
+			MemoryMB       float64 `toml:"memory_mb"`
+			MaxConnections int     `toml:"max_connections"`
+		} `toml:"machine_limits"`
+	} `toml:"params"`
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var s Settings
+	if err := toml.Unmarshal(raw, &s); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() error {
+	if s.Node == "" {
+		return errors.New("node is missing")
+	}
+	for name, addr := range map[string]string{
+		"bind": s.Listen, "peer_listen": s.PeerListen,
+		"external.cloud": s.Services.Cloud, "external.state": s.Services.State,
+	} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return fmt.Errorf("%s is no address: %q", name, addr)
+		}
+	}
+	if err := s.checkPeers(); err != nil {
+		return err
+	}
+	if err := s.checkTeams(); err != nil {
+		return err
+	}
+	return s.checkFigures()
+}
+
+func (s *Settings) checkPeers() error {
+	seen := map[string]bool{s.Node: true}
+	for _, p := range s.Peers {
+		if p.Node == "" || seen[p.Node] {
+			return fmt.Errorf("others: node %q is empty or named twice", p.Node)
+		}
+		seen[p.Node] = true
+		if _, _, err := net.SplitHostPort(p.Address); err != nil {
+			return fmt.Errorf("others: address of %s is no address: %q", p.Node, p.Address)
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkTeams() error {
+	if len(s.Params.Teams) == 0 {
+		return errors.New("params.teams is missing")
+	}
+	seen := map[string]bool{}
+	for _, t := range s.Params.Teams {
+		switch {
+		case t.Name == "" || seen[t.Name]:
+			return fmt.Errorf("team %q is empty or named twice", t.Name)
+		case t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0:
+			return fmt.Errorf("team %s has a negative figure", t.Name)
+		case t.CPUsMax > 0 && t.CPUs > t.CPUsMax, t.GPUsMax > 0 && t.GPUs > t.GPUsMax:
+			return fmt.Errorf("team %s is guaranteed more than its limit", t.Name)
+		}
+		seen[t.Name] = true
+	}
+	return nil
+}
+
+func (s *Settings) checkFigures() error {
+	p := &s.Params
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{
+		{"workers.report_s", p.Workers.ReportS}, {"workers.lease_s", p.Workers.LeaseS},
+		{"workers.gang_wait_s", p.Workers.GangWaitS}, {"workers.gang_peer_s", p.Workers.GangPeerS},
+		{"workers.cancel_s", p.Workers.CancelS}, {"state.rps", p.State.RPS},
+		{"state.write_rps", p.State.WriteRPS}, {"state.value_kb", p.State.ValueKB},
+		{"state.txn_ops", float64(p.State.TxnOps)}, {"cloud.rps", p.Cloud.RPS},
+		{"machine_limits.cpu", p.Limits.CPU}, {"machine_limits.memory_mb", p.Limits.MemoryMB},
+		{"machine_limits.max_connections", float64(p.Limits.MaxConnections)},
+	} {
+		if f.value <= 0 {
+			return fmt.Errorf("params.%s must be positive", f.name)
+		}
+	}
+	if p.Workers.LeaseS <= p.Workers.ReportS {
+		return errors.New("params.workers.lease_s must exceed report_s")
+	}
+	return nil
+}
+
+// Team looks a team up by name.
+func (s *Settings) Team(name string) (Team, bool) {
+	for _, t := range s.Params.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,71 @@
+// Package store speaks to the state service.
+package store
+
+import (
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pepperlever/internal/core"
+	"pepperlever/internal/httpc"
+	"pepperlever/internal/protocol"
+)
+
+// client does single requests.
+type client struct {
+	http *httpc.Client
+	addr string
+}
+
+func newClient(addr string, timeout time.Duration) *client {
+	return &client{addr: addr, http: httpc.New(timeout, 32)}
+}
+
+func (c *client) call(method, path string, body, out any) (int, error) {
+	return c.http.Call(method, c.addr, path, body, out)
+}
+
+// txn does a transaction.
+func (c *client) txn(t protocol.Txn) core.StoreReply {
+	var r protocol.TxnResult
+	if t.If == nil {
+		t.If = []protocol.Condition{}
+	}
+	status, err := c.call(fasthttp.MethodPost, protocol.PathTxn, t, &r)
+	out := core.StoreReply{Revision: r.Revision, Failed: r.Failed}
+	switch {
+	case errors.Is(err, httpc.ErrUnsent):
+		out.Outcome = core.Refused
+	case err != nil:
+		out.Outcome = core.Unknown
+	case status == fasthttp.StatusOK:
+		out.Outcome = core.Applied
+	case status == fasthttp.StatusConflict:
+		out.Outcome = core.Conflict
+	case status == fasthttp.StatusBadRequest && strings.Contains(r.Error, "lease"):
+		out.Outcome = core.NoLease
+	case status == fasthttp.StatusBadRequest:
+		out.Outcome = core.NoLease
+		out.Failed = []string{r.Error}
+	default:
+		out.Outcome = core.Refused
+	}
+	return out
+}
+
+// get reads one key.
+func (c *client) get(key string) core.StoreReply {
+	var kv protocol.KeyValue
+	status, err := c.call(fasthttp.MethodGet, protocol.PathKV+"/"+key, nil, &kv)
+	out := core.StoreReply{Outcome: core.Refused, Item: kv, Revision: kv.Revision}
+	switch {
+	case err != nil:
+	case status == fasthttp.StatusOK:
+		out.Outcome = core.Applied
+	case status == fasthttp.StatusNotFound:
+		out.Outcome = core.Missing
+	}
+	return out
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,294 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"pepperlever/internal/core"
+	"pepperlever/internal/httpc"
+	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
+)
+
+// Store runs the core's requests within the limits of the state service, keeps
+// the lease alive and follows the changes.
+type Store struct {
+	cfg    *settings.Settings
+	root   string
+	emit   func(core.Command)
+	quick  *client
+	watch  *client
+	reload chan struct{}
+	health health
+	limit  *limiter
+	lanes  [2]chan func()
+}
+
+// New makes a Store that tells emit what it learns.
+func New(cfg *settings.Settings, root string, emit func(core.Command)) *Store {
+	s := &Store{cfg: cfg, root: root, emit: emit, reload: make(chan struct{}, 1)}
+	s.quick = newClient(cfg.Services.State, s.patience())
+	s.watch = newClient(cfg.Services.State, 2*s.wait())
+	s.limit = newLimiter(cfg.Params.State.RPS, cfg.Params.State.WriteRPS)
+	s.health.emit = emit
+	for i := range s.lanes {
+		s.lanes[i] = make(chan func(), 4096)
+	}
+	return s
+}
+
+func (s *Store) report() time.Duration {
+	return time.Duration(s.cfg.Params.Workers.ReportS * float64(time.Second))
+}
+
+// patience is how long one request may take, wait how long a watch stays open.
+func (s *Store) patience() time.Duration { return s.report() * 2 / 3 }
+func (s *Store) wait() time.Duration     { return s.report() }
+
+// ttl is the time to live of this node's lease.
+func (s *Store) ttl() time.Duration {
+	return time.Duration(s.cfg.Params.Workers.LeaseS * float64(time.Second) / 4)
+}
+
+// Run works until ctx ends.
+func (s *Store) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.keepLease(ctx) })
+	g.Go(func() error { return s.follow(ctx) })
+	for range 16 {
+		g.Go(func() error { return s.work(ctx) })
+	}
+	return g.Wait()
+}
+
+// work runs queued requests, urgent ones first.
+func (s *Store) work(ctx context.Context) error {
+	for {
+		select {
+		case f := <-s.lanes[0]:
+			f()
+			continue
+		default:
+		}
+		select {
+		case f := <-s.lanes[0]:
+			f()
+		case f := <-s.lanes[1]:
+			f()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Txn queues a transaction; its reply goes to the core.
+func (s *Store) Txn(t core.StoreTxn) {
+	s.queue(t.Urgent || t.Quick, t.ID, func() core.StoreReply {
+		return s.try(t.Quick, len(t.Txn.Then), func() core.StoreReply { return s.quick.txn(t.Txn) })
+	})
+}
+
+// Get queues a read.
+func (s *Store) Get(g core.StoreGet) {
+	s.queue(true, g.ID, func() core.StoreReply {
+		return s.try(g.Quick, 0, func() core.StoreReply { return s.quick.get(g.Key) })
+	})
+}
+
+// Reload asks for everything to be read again.
+func (s *Store) Reload() {
+	select {
+	case s.reload <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Store) queue(urgent bool, id uint64, f func() core.StoreReply) {
+	lane := s.lanes[1]
+	if urgent {
+		lane = s.lanes[0]
+	}
+	job := func() {
+		r := f()
+		r.ID = id
+		s.emit(r)
+	}
+	select {
+	case lane <- job:
+	default:
+		s.emit(core.StoreReply{ID: id, Outcome: core.Refused})
+	}
+}
+
+// try repeats a request that was not carried out, for a user only shortly.
+func (s *Store) try(quick bool, writes int, f func() core.StoreReply) core.StoreReply {
+	patience := s.report()
+	if quick {
+		patience = s.report() / 4
+	}
+	start := time.Now()
+	pause := s.report() / 50
+	for {
+		if !s.limit.wait(writes, patience-time.Since(start)) {
+			return core.StoreReply{Outcome: core.Refused}
+		}
+		r := f()
+		s.health.note(r.Outcome != core.Refused && r.Outcome != core.Unknown, s.report())
+		if r.Outcome != core.Refused || time.Since(start)+pause > patience {
+			return r
+		}
+		time.Sleep(pause/2 + rand.N(pause))
+		pause *= 2
+	}
+}
+
+// health tells the core when the state service stops or starts to answer.
+type health struct {
+	mu     sync.Mutex
+	emit   func(core.Command)
+	down   bool
+	lastOK time.Time
+}
+
+func (h *health) note(ok bool, grace time.Duration) {
+	h.mu.Lock()
+	now := time.Now()
+	if ok || h.lastOK.IsZero() {
+		h.lastOK = now
+	}
+	down := !ok && now.Sub(h.lastOK) > grace
+	changed := down != h.down && (down || ok)
+	if changed {
+		h.down = down
+	}
+	h.mu.Unlock()
+	if changed {
+		slog.Info("state service", "answers", !down)
+		h.emit(core.StoreHealth{OK: !down})
+	}
+}
+
+// keepLease holds a lease and tells the core when it is a new one.
+func (s *Store) keepLease(ctx context.Context) error {
+	var lease uint64
+	for ctx.Err() == nil {
+		pause := s.ttl() / 3
+		if lease == 0 {
+			var g protocol.LeaseGranted
+			status, err := s.quick.call(fasthttp.MethodPost, protocol.PathLeases, protocol.LeaseGrant{TTLMillis: s.ttl().Milliseconds()}, &g)
+			if err == nil && status == fasthttp.StatusOK && g.Lease != 0 {
+				lease = g.Lease
+				s.emit(core.LeaseUp{Lease: lease})
+			} else {
+				pause = s.report() / 10
+			}
+		} else {
+			path := protocol.PathLeases + "/" + strconv.FormatUint(lease, 10) + "/" + protocol.PathRenew
+			status, err := s.quick.call(fasthttp.MethodPost, path, struct{}{}, nil)
+			switch {
+			case err == nil && status == fasthttp.StatusNotFound:
+				lease, pause = 0, 0
+				s.emit(core.LeaseDown{})
+			case err != nil || status != fasthttp.StatusOK:
+				pause = s.ttl() / 10
+			}
+			s.health.note(err == nil && status < 429, s.report())
+		}
+		sleep(ctx, pause)
+	}
+	return ctx.Err()
+}
+
+// errReload tells that the changes can't be followed from here on.
+var errReload = errors.New("read everything again")
+
+// follow loads the stored state and then passes every change on.
+func (s *Store) follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		since, err := s.load()
+		if err == nil {
+			err = s.changes(ctx, since)
+		}
+		if !errors.Is(err, errReload) {
+			sleep(ctx, s.report()/10)
+		}
+	}
+	return ctx.Err()
+}
+
+func (s *Store) load() (uint64, error) {
+	var out core.Loaded
+	after := ""
+	for {
+		args := []string{protocol.ArgPrefix, s.root, protocol.ArgLimit, "500"}
+		if after != "" {
+			args = append(args, protocol.ArgAfter, after)
+		}
+		var page protocol.KeyList
+		status, err := s.watch.call(fasthttp.MethodGet, httpc.Query(protocol.PathKV, args...), nil, &page)
+		if err != nil {
+			return 0, err
+		}
+		if status != fasthttp.StatusOK {
+			return 0, errors.New("list refused")
+		}
+		if out.Revision == 0 {
+			out.Revision = page.Revision
+		}
+		out.Items = append(out.Items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			s.emit(out)
+			return out.Revision, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// changes follows the watch until it has to start over. A short pause between
+// two watches lets changes gather into one answer.
+func (s *Store) changes(ctx context.Context, since uint64) error {
+	for ctx.Err() == nil {
+		select {
+		case <-s.reload:
+			return errReload
+		default:
+		}
+		var ch protocol.Changes
+		status, err := s.watch.call(fasthttp.MethodGet, httpc.Query(protocol.PathWatch, protocol.ArgPrefix, s.root,
+			protocol.ArgAfter, strconv.FormatUint(since, 10),
+			protocol.ArgWait, strconv.FormatInt(s.wait().Milliseconds(), 10)), nil, &ch)
+		switch {
+		case err == nil && status == fasthttp.StatusOK:
+			if len(ch.Events) > 0 || ch.Revision > since {
+				s.emit(core.Watched{Revision: ch.Revision, Events: ch.Events})
+			}
+			since = max(since, ch.Revision)
+			sleep(ctx, s.report()/30)
+		case err == nil && status == fasthttp.StatusGone:
+			return errReload
+		default:
+			sleep(ctx, s.report()/10)
+		}
+	}
+	return ctx.Err()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
