--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -193,8 +193,8 @@
 // start forwards a bound task's start, or refuses it for good.
 func (c *Core) start(from string, s Start) {
 	w := c.own[s.Machine]
-	if w == nil || w.term != s.Term || w.session != s.Session || !c.fitsNow(s, w) {
-		c.log(Info, "start refused", "task", s.Task, "machine", s.Machine, "home", from)
+	if why := c.cannotStart(w, s); why != "" {
+		c.log(Info, "start refused", "task", s.Task, "machine", s.Machine, "home", from, "why", why)
 		c.tell(from, PeerMsg{Refusal: &Refusal{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt}})
 		return
 	}
@@ -203,6 +203,23 @@
 	c.sched.deliver[s.Machine] = true
 }
 
+// cannotStart tells why a start is refused, or nothing. A start under another
+// term or for another session is refused for good: that its binding can only
+// ever be started under the term it was made for is what makes late ones safe.
+func (c *Core) cannotStart(w *control, s Start) string {
+	switch {
+	case w == nil:
+		return "worker reports elsewhere"
+	case w.term != s.Term:
+		return "term has passed"
+	case w.session != s.Session:
+		return "session has passed"
+	case !c.fitsNow(s, w):
+		return "no room"
+	}
+	return ""
+}
+
 // fitsNow checks the room on the machine as its newest report and the starts
 // on their way show it.
 func (c *Core) fitsNow(s Start, w *control) bool {
--- a/internal/core/job/spec.go
+++ b/internal/core/job/spec.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/segmentio/encoding/json"
@@ -79,7 +80,7 @@
 }
 
 // TaskID names task i of the job.
-func (s *Spec) TaskID(i int) string { return fmt.Sprintf("%s/%d", s.ID, i) }
+func (s *Spec) TaskID(i int) string { return s.ID + "/" + strconv.Itoa(i) }
 
 // Parse turns a submission into a Spec. The error says in one line which
 // field is at fault.
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -269,5 +269,6 @@
 	c.sched.dirty = true
 }
 
-// flushInterval is how long finished tasks of a job may gather.
-func (c *Core) flushInterval() time.Duration { return c.reportInterval() / 2 }
+// flushInterval is how long finished tasks of a job may gather. Until they are
+// stored their workers keep reporting them, so a crash loses nothing.
+func (c *Core) flushInterval() time.Duration { return 2 * c.reportInterval() }
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -10,6 +10,7 @@
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/placement"
 	"pepperlever/internal/core/worker"
+	"pepperlever/internal/protocol"
 )
 
 // recordInterval is how often records are exchanged, as the design says.
@@ -116,11 +117,17 @@
 	return out
 }
 
-// bindLoad sums what is bound to each machine.
+// bindLoad sums what is bound to each machine. A task that its worker reports
+// as exited takes no room, even before its home has stored the end.
 func (c *Core) bindLoad() map[string]job.Resources {
 	out := map[string]job.Resources{}
 	for _, j := range c.jobs {
-		for _, b := range j.Bound {
+		for i, b := range j.Bound {
+			if m := c.machines[b.Machine]; m != nil && m.Exits > 0 {
+				if t, ok := m.Find(j.TaskID(i), b.Attempt); ok && t.State == protocol.Exited {
+					continue
+				}
+			}
 			out[b.Machine] = out[b.Machine].Plus(j.Need, 1)
 		}
 	}
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -22,6 +22,8 @@
 	IdleSince time.Duration
 	// FullAt is when it last turned a start down for want of room.
 	FullAt time.Duration
+	// Exits counts the exited tasks in the newest report.
+	Exits  int
 	images map[string]image
 	// Errors counts tasks that failed on it since one succeeded.
 	Errors int
@@ -73,13 +75,16 @@
 
 // Update takes a newer report.
 func (m *Machine) Update(r protocol.Report, now time.Duration) {
-	m.Report = r
+	m.Report, m.Exits = r, 0
 	m.tasks = make(map[string]map[uint64]protocol.TaskReport, len(r.Tasks))
 	for _, t := range r.Tasks {
 		if m.tasks[t.Task] == nil {
 			m.tasks[t.Task] = map[uint64]protocol.TaskReport{}
 		}
 		m.tasks[t.Task][t.Attempt] = t
+		if t.State == protocol.Exited {
+			m.Exits++
+		}
 	}
 	switch {
 	case r.NoticeS == nil:
