--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,9 +69,10 @@
 	version uint64
 	acting  bool
 	taking  bool
-	record  fairness.Record
-	stored  time.Duration
-	jobs    map[string]*job.Job
+	// record is the newest known record; ranked is the one last exchanged,
+	// by which all controllers rank alike.
+	record, ranked fairness.Record
+	jobs           map[string]*job.Job
 }
 
 // New makes a core. inc must differ between runs of the process.
@@ -195,7 +196,7 @@
 	if c.fleet.acting && c.every(&c.timers.list, c.listInterval()) {
 		c.emit(FetchList{})
 	}
-	if c.loaded && c.every(&c.timers.record, 5*recordInterval) {
+	if c.loaded && c.every(&c.timers.record, 15*recordInterval) {
 		c.storeRecords()
 	}
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -87,7 +87,13 @@
 		if counts[i] >= limit || !s.Allows(o.Type.Name, o.Zone, o.Spot) || !s.Need.Fits(o.Size()) {
 			continue
 		}
-		if price := o.Price() / math.Min(Fit(s.Need, o.Size()), float64(max(tasks, 1))); price < bestPrice {
+		price := o.Price() / math.Min(Fit(s.Need, o.Size()), float64(max(tasks, 1)))
+		// Of two offers of about the same price the smaller machine leaves the
+		// large ones to tasks that need them, and empties sooner.
+		if best >= 0 && o.Size().CPUs > offers[best].Size().CPUs {
+			price *= 1.25
+		}
+		if price < bestPrice {
 			best, bestPrice = i, price
 		}
 	}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/segmentio/encoding/json"
 
@@ -28,13 +27,23 @@
 	}
 }
 
-// flushDue lets finished tasks of a job gather for a while, so that a long
-// array costs fewer changes; all else is stored at once.
+// flushDue spaces the writes of one job, so that a long array costs few
+// changes: what a start or an end waits for goes at once if the last write was
+// not just now, and finished tasks may gather longer.
 func (c *Core) flushDue(j *job.Job) bool {
-	if j.Complete() || j.Cancelled || j.Urgent {
+	if j.Complete() || j.Cancelled {
 		return true
 	}
-	return c.now.Steady >= j.StoredAt+c.flushInterval()
+	wait := 2 * c.reportInterval()
+	switch {
+	case j.Urgent && j.Priority < priorityNormal:
+		wait = c.reportInterval() / 10
+	case j.Urgent:
+		wait = c.reportInterval() / 3
+	}
+	// Until finished tasks are stored their workers keep reporting them, so a
+	// crash loses nothing.
+	return c.now.Steady >= j.StoredAt+wait
 }
 
 // update is one transaction on a job and what it carries.
@@ -268,7 +277,3 @@
 	j.Urgent = j.Urgent || j.Kind != job.Array
 	c.sched.dirty = true
 }
-
-// flushInterval is how long finished tasks of a job may gather. Until they are
-// stored their workers keep reporting them, so a crash loses nothing.
-func (c *Core) flushInterval() time.Duration { return 2 * c.reportInterval() }
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -114,3 +115,6 @@
 		Then: []protocol.Change{put(keyRecord+t.Name, recordKey{t.record})},
 	}
 }
+
+// priorityNormal is the place of the normal priority; smaller is more urgent.
+var priorityNormal = slices.Index(protocol.Priorities, "normal")
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -93,6 +93,7 @@
 		b.Records = map[string]fairness.Record{}
 		for _, t := range c.teams {
 			if t.acting {
+				t.ranked = t.record
 				b.Records[t.Name] = t.record
 			}
 		}
@@ -115,7 +116,7 @@
 	p.storeOK = b.StoreOK
 	for name, r := range b.Records {
 		if t := c.teamBy[name]; t != nil && !t.acting {
-			t.record = r
+			t.record, t.ranked = r, r
 		}
 	}
 	for _, id := range b.Heard {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -18,8 +18,11 @@
 	Lasts float64
 	// Empty tells that nothing is bound to it.
 	Empty bool
-	// Delay is how many seconds pass before it can start a task.
-	Delay float64
+	// Scale is its size relative to the largest type: small tasks go to small
+	// machines while there is a choice, since large ones need the others.
+	Scale float64
+	// Reserved is set while it is kept for a task that needs more room.
+	Reserved bool
 }
 
 // Zones counts the tasks of a job that are bound in each zone.
@@ -28,7 +31,7 @@
 // Allowed tells whether one more task of the job may go to a host, given where
 // its other tasks are.
 func Allowed(s *job.Spec, h *Host, zones Zones) bool {
-	if !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
+	if h.Reserved || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
 		return false
 	}
 	if s.OneZone {
@@ -75,7 +78,25 @@
 	if h.Empty {
 		out--
 	}
-	return out
+	return out - 2*h.Scale
+}
+
+// Reserve keeps one host free of other tasks for a job that found no room, so
+// that smaller tasks do not take every gap before a large one opens. It is the
+// one that already has the most room.
+func Reserve(s *job.Spec, hosts []*Host) {
+	var best *Host
+	for _, h := range hosts {
+		if h.Reserved || h.Lasts >= 0 || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Size) {
+			continue
+		}
+		if best == nil || h.Room.CPUs > best.Room.CPUs {
+			best = h
+		}
+	}
+	if best != nil {
+		best.Reserved = true
+	}
 }
 
 // Gang places n tasks of a job, all or none. The hosts' room is taken only if
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -101,7 +101,7 @@
 		var r recordKey
 		t := c.teamBy[strings.TrimPrefix(key, keyRecord)]
 		if err = json.Unmarshal(item.Value, &r); err == nil && t != nil && !t.acting {
-			t.record = r.Record
+			t.record, t.ranked = r.Record, r.Record
 		}
 	}
 	if err != nil {
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -99,6 +99,10 @@
 // from the same replica, so their plans differ little.
 func (c *Core) hosts() []*placement.Host {
 	load := c.bindLoad()
+	largest := 1.0
+	for _, t := range c.types {
+		largest = max(largest, t.CPUs)
+	}
 	var out []*placement.Host
 	for _, id := range slices.Sorted(maps.Keys(c.machines)) {
 		m := c.machines[id]
@@ -108,7 +112,7 @@
 		size := capacity(c.types[m.Type])
 		used, busy := load[id]
 		h := &placement.Host{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Size: size,
-			Room: size.Plus(used, -1), Warm: m.HasImage, Empty: !busy, Lasts: -1, Penalty: float64(m.Errors)}
+			Room: size.Plus(used, -1), Warm: m.HasImage, Empty: !busy, Lasts: -1, Penalty: float64(m.Errors), Scale: size.CPUs / largest}
 		if m.NoticeAt > 0 {
 			h.Lasts = (m.NoticeAt - c.now.Steady).Seconds()
 		}
@@ -201,7 +205,7 @@
 			return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(dueAt(a), dueAt(b)), cmp.Compare(a.ID, b.ID))
 		})
 		turns = append(turns, u)
-		ranked = append(ranked, fairness.Team{Record: t.record, Weight: max(weights[i], 1), Overdue: overdue})
+		ranked = append(ranked, fairness.Team{Record: t.ranked, Weight: max(weights[i], 1), Overdue: overdue})
 	}
 	return turns, ranked
 }
@@ -256,6 +260,7 @@
 				return need, true
 			}
 			c.unplaced(u, j)
+			placement.Reserve(&j.Spec, hosts)
 		}
 		u.jobs = u.jobs[1:]
 	}
