--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -225,13 +225,13 @@
 	total := c.totalCapacity()
 	skip := make([]bool, len(turns))
 	for {
-		i := fairness.Next(ranked, skip, total)
+		i := fairness.Next(ranked, urgentFirst(turns, skip), total)
 		if i < 0 {
 			return
 		}
 		need, ok := c.placeNext(turns[i], hosts)
+		skip[i] = len(turns[i].jobs) == 0
 		if !ok {
-			skip[i] = true
 			continue
 		}
 		ranked[i].Overdue = false
@@ -240,10 +240,26 @@
 	}
 }
 
+// urgentFirst lets only the teams take part whose next job has the highest
+// priority that waits anywhere: a job of a lower one would be stopped for it.
+func urgentFirst(turns []*turn, skip []bool) []bool {
+	top := len(protocol.Priorities)
+	for i, u := range turns {
+		if !skip[i] {
+			top = min(top, u.jobs[0].Priority)
+		}
+	}
+	out := slices.Clone(skip)
+	for i, u := range turns {
+		out[i] = skip[i] || u.jobs[0].Priority > top
+	}
+	return out
+}
+
 // placeNext places one allocation of a team: a task, or a whole gang. Jobs that
-// find no room leave their turn to the team's next.
+// find no room leave their turn to the team's next of the same priority.
 func (c *Core) placeNext(u *turn, hosts []*placement.Host) (job.Resources, bool) {
-	for len(u.jobs) > 0 {
+	for tier := u.jobs[0].Priority; len(u.jobs) > 0 && u.jobs[0].Priority == tier; {
 		j := u.jobs[0]
 		n := 1
 		if j.Kind == job.Gang {
