--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/segmentio/encoding/json"
@@ -41,9 +40,6 @@
 	c.takeTerm()
 }
 
-// liveNodes lists the controllers whose lease lives, in a fixed order.
-func (c *Core) liveNodes() []string { return slices.Sorted(maps.Keys(c.nodes)) }
-
 // tendHomes takes teams that have no home, or whose home is an earlier run of
 // this node, and hands surplus teams to nodes that have too few.
 func (c *Core) tendHomes() {
@@ -52,25 +48,38 @@
 	if c.lease == 0 || !enrolled || me.Inc != c.inc {
 		return
 	}
-	live := c.liveNodes()
-	if len(live) < c.cfg.Params.Nodes && c.now.Steady < c.reportInterval() && !slices.Contains(live, c.cfg.Node) {
-		return
-	}
 	for i, t := range c.allTeams() {
-		preferred := live[i%len(live)]
-		_, homeLives := c.nodes[t.home]
-		own := t.home == c.cfg.Node && t.homeInc != c.inc
-		stale := homeLives && c.nodes[t.home].Inc != t.homeInc
+		preferred := c.preferred(i)
+		home, homeLives := c.nodes[t.home]
+		orphan := t.version == 0 || !homeLives || home.Inc != t.homeInc
+		reached := c.peers[preferred] != nil && c.peers[preferred].connected
 		switch {
 		case t.taking:
-		case t.version == 0 && preferred == c.cfg.Node, own, t.version > 0 && !homeLives && preferred == c.cfg.Node, stale && preferred == c.cfg.Node:
+		case orphan && (preferred == c.cfg.Node || t.home == c.cfg.Node):
 			c.assign(t, c.cfg.Node)
-		case t.acting && preferred != c.cfg.Node && c.peers[preferred] != nil && c.peers[preferred].connected:
+		case t.acting && preferred != c.cfg.Node && reached:
 			c.assign(t, preferred)
 		}
 	}
 }
 
+// preferred is the controller that should be the home of team i: the same one
+// for as long as it lives, so that an end elsewhere moves only the teams of
+// that node.
+func (c *Core) preferred(i int) string {
+	all := []string{c.cfg.Node}
+	for _, p := range c.cfg.Peers {
+		all = append(all, p.Node)
+	}
+	slices.Sort(all)
+	for n := range all {
+		if _, live := c.nodes[all[(i+n)%len(all)]]; live {
+			return all[(i+n)%len(all)]
+		}
+	}
+	return c.cfg.Node
+}
+
 // assign writes a team's home, on the condition that nobody else has.
 func (c *Core) assign(t *team, node string) {
 	n := c.nodes[node]
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -263,14 +263,15 @@
 }
 
 // health tells the load balancer to look elsewhere when this node alone cannot
-// reach the state service. In an outage that everyone sees it stays up, since
-// refusing at once serves users better than an empty list of nodes.
+// reach the state service. In an outage that a peer sees too it stays up, since
+// refusing at once serves users better than an empty list of nodes. A node that
+// hears neither the state service nor a peer takes itself to be cut off.
 func (c *Core) health(m Health) {
-	alone := false
+	shared := len(c.peers) == 0
 	for _, p := range c.peers {
-		alone = alone || p.connected && p.storeOK && c.now.Steady-p.seen < c.reportInterval()
+		shared = shared || !p.storeOK && c.now.Steady-p.seen < 2*c.reportInterval()
 	}
-	if !c.loaded || c.types == nil || !c.storeOK && alone {
+	if !c.loaded || c.types == nil || !c.storeOK && !shared {
 		c.unavailable(m.Req)
 		return
 	}
