--- a/cmd/pepperlever/main.go
+++ b/cmd/pepperlever/main.go
@@ -41,34 +41,43 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
 }
 
+// files names what the operator hands over.
+type files struct{ config, policy string }
+
 func command() *cobra.Command {
-	var config string
+	var f files
 	root := &cobra.Command{
 		Use:           "pepperlever --config FILE",
 		Short:         "A cluster scheduler with long-term fairness between teams",
+		Long:          "Serves as one controller of a cluster scheduler until it is told to stop.\nLogs go to standard error; LOG_LEVEL is error, info (default) or debug.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		Args:          cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if config == "" {
+			if f.config == "" {
 				return cmd.Help()
 			}
-			return serve(config)
+			return f.serve()
 		},
 	}
-	root.PersistentFlags().StringVar(&config, "config", "", "the settings file (TOML)")
+	root.PersistentFlags().StringVar(&f.config, "config", "", "the platform's settings file (TOML)")
+	root.PersistentFlags().StringVar(&f.policy, "policy", os.Getenv("PEPPERLEVER_POLICY"),
+		"the operator's script (Starlark); PEPPERLEVER_POLICY names it too")
 	root.AddCommand(
 		&cobra.Command{
 			Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-			Run: func(cmd *cobra.Command, _ []string) { cmd.Println("pepperlever", version) },
+			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "pepperlever", version) },
 		},
 		&cobra.Command{
-			Use: "check FILE", Short: "Check a settings file", Args: cobra.ExactArgs(1),
+			Use: "check [FILE]", Short: "Check a settings file and the operator's script", Args: cobra.MaximumNArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
-				if _, err := settings.Load(args[0]); err != nil {
+				if len(args) == 1 {
+					f.config = args[0]
+				}
+				if _, _, err := f.load(); err != nil {
 					return err
 				}
-				cmd.Println("settings are good")
+				fmt.Fprintln(cmd.OutOrStdout(), "settings are good")
 				return nil
 			},
 		},
@@ -76,16 +85,25 @@
 	return root
 }
 
+func (f files) load() (*settings.Settings, settings.Policy, error) {
+	cfg, err := settings.Load(f.config)
+	if err != nil {
+		return nil, settings.Policy{}, err
+	}
+	policy, err := settings.LoadPolicy(f.policy, cfg)
+	return cfg, policy, err
+}
+
 // serve runs the daemon until it is told to stop. An end that is not asked for
 // is an error.
-func serve(config string) error {
-	cfg, err := settings.Load(config)
+func (f files) serve() error {
+	cfg, policy, err := f.load()
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	err = daemon.Run(ctx, cfg, settings.DefaultPolicy())
+	err = daemon.Run(ctx, cfg, policy)
 	if ctx.Err() != nil {
 		return nil
 	}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,337 @@
+package core
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
+)
+
+func accepted(t *testing.T, a Answer) {
+	t.Helper()
+	if a.Status != http.StatusCreated {
+		t.Fatalf("submission got %d: %v", a.Status, a.Body)
+	}
+}
+
+func stateOf(t *testing.T, a Answer) protocol.JobState {
+	t.Helper()
+	s, ok := a.Body.(protocol.JobState)
+	if a.Status != http.StatusOK || !ok {
+		t.Fatalf("state got %d: %v", a.Status, a.Body)
+	}
+	return s
+}
+
+func TestJobsOfAllTeamsRunOnceAndEndDone(t *testing.T) {
+	w := newWorld(t).ready()
+	ids := []string{"req-red-1", "req-blue-1", "req-free-1"}
+	for i, id := range ids {
+		accepted(t, w.submit(nodeNames[i], id, 12, ""))
+	}
+	if !w.run(4*time.Minute, w.finished(ids...)) {
+		t.Fatal("jobs do not end")
+	}
+	for _, id := range ids {
+		for _, n := range nodeNames {
+			if s := stateOf(t, w.status(n, id)); s.State != protocol.Done || s.Done != 12 {
+				t.Errorf("%s says %+v", n, s)
+			}
+		}
+		for i := range 12 {
+			if n := w.starts[fmt.Sprintf("%s/%d", id, i)]; n != 1 {
+				t.Errorf("%s/%d was started %d times", id, i, n)
+			}
+		}
+	}
+}
+
+func TestRepeatedSubmissionGetsTheCurrentStateForever(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 1, ""))
+	if s := stateOf(t, w.submit("b", "req-blue-1", 1, "")); s.State == protocol.Done {
+		t.Errorf("early repeat says %+v", s)
+	}
+	if !w.run(time.Minute, w.finished("req-blue-1")) {
+		t.Fatal("job does not end")
+	}
+	for _, n := range nodeNames {
+		w.crash(n)
+		w.expire(n)
+		w.boot(n)
+	}
+	w.ready()
+	if s := stateOf(t, w.submit("c", "req-blue-1", 1, "")); s.State != protocol.Done {
+		t.Errorf("late repeat says %+v", s)
+	}
+}
+
+func TestUnknownJobIsNotFoundOnlyAfterACurrentRead(t *testing.T) {
+	w := newWorld(t).ready()
+	if a := w.status("a", "req-nobody"); a.Status != http.StatusNotFound {
+		t.Errorf("got %d", a.Status)
+	}
+	w.outage = true
+	if a := w.status("a", "req-nobody"); a.Status != http.StatusServiceUnavailable || a.RetryAfter == 0 {
+		t.Errorf("during an outage got %d, retry after %d", a.Status, a.RetryAfter)
+	}
+}
+
+func TestStartHeldByTheNetworkIsRefusedAfterTheTaskWentElsewhere(t *testing.T) {
+	w := newWorld(t).ready()
+	w.loseDo = true
+	accepted(t, w.submit("a", "req-blue-1", 2, ""))
+	if !w.run(time.Minute, func() bool {
+		return slices.ContainsFunc(w.held, func(d Deliver) bool { return len(d.Orders.Commands) > 0 })
+	}) {
+		t.Fatal("nothing was delivered")
+	}
+	w.loseDo = false
+	if !w.run(time.Minute, w.finished("req-blue-1")) {
+		t.Fatal("job does not end after a lost start")
+	}
+	accepted(t, w.submit("b", "req-blue-2", 2, ""))
+	w.run(3*time.Second, nil)
+	before := len(w.starts)
+	for _, d := range w.held {
+		w.deliver("a", d)
+	}
+	w.run(time.Minute, w.finished("req-blue-2"))
+	if len(w.starts) < before {
+		t.Error("starts were lost")
+	}
+	for task, n := range w.starts {
+		if n != 1 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+}
+
+func TestTeamsOfACrashedHomeGoOnElsewhere(t *testing.T) {
+	w := newWorld(t).ready()
+	ids := []string{"req-red-1", "req-blue-1", "req-free-1"}
+	for _, id := range ids {
+		accepted(t, w.submit("c", id, 10, ""))
+	}
+	w.run(12*time.Second, nil)
+	for _, n := range []string{"a", "b"} {
+		w.crash(n)
+		w.expire(n)
+	}
+	if !w.run(4*time.Minute, w.finished(ids...)) {
+		t.Fatal("jobs do not end after two crashes")
+	}
+}
+
+func TestAllControllersCrashInAnOutageAndNothingRunsTwice(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 12, ""))
+	w.run(9*time.Second, nil)
+	w.outage = true
+	w.run(2*time.Second, nil)
+	for _, n := range nodeNames {
+		w.crash(n)
+	}
+	w.run(3*time.Second, nil)
+	w.outage = false
+	for _, n := range nodeNames {
+		w.boot(n)
+	}
+	if !w.run(4*time.Minute, w.finished("req-blue-1")) {
+		t.Fatal("job does not end")
+	}
+}
+
+func TestHomeCutFromTheStoreIsDeposedAndItsStartsAreHarmless(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-red-1", 12, ""))
+	w.run(8*time.Second, nil)
+	for _, n := range nodeNames {
+		w.cut[n] = true
+		w.expire(n)
+		w.run(10*time.Second, nil)
+		w.cut[n] = false
+		w.send(n, LeaseDown{})
+		w.nextReq++
+		w.leases[w.nextReq] = n
+		w.send(n, LeaseUp{Lease: w.nextReq})
+	}
+	if !w.run(4*time.Minute, w.finished("req-red-1")) {
+		t.Fatal("job does not end")
+	}
+}
+
+func TestTransactionsWithoutAnAnswerAreSettledByTheirNonce(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 4, ""))
+	for range 30 {
+		w.unknown = 1
+		w.run(time.Second, nil)
+	}
+	w.unknown = 0
+	if !w.run(2*time.Minute, w.finished("req-blue-1")) {
+		t.Fatal("job does not end")
+	}
+	for task, n := range w.starts {
+		if n != 1 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+}
+
+func TestCancelledJobLeavesItsMachinesInTime(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 6, ""))
+	if !w.run(time.Minute, func() bool { return w.onMachines("req-blue-1") > 2 }) {
+		t.Fatal("job does not start")
+	}
+	// One machine hangs, so that a stop does not reach its tasks.
+	for _, f := range w.workers {
+		if len(f.Tasks) > 0 {
+			f.dead = true
+			break
+		}
+	}
+	if s := stateOf(t, w.cancelJob("b", "req-blue-1")); s.State != protocol.Cancelled {
+		t.Fatalf("answer is %+v", s)
+	}
+	w.run(30*time.Second, nil)
+	if n := w.onMachines("req-blue-1"); n != 0 {
+		t.Errorf("%d tasks are left", n)
+	}
+	for _, n := range nodeNames {
+		if s := stateOf(t, w.status(n, "req-blue-1")); s.State != protocol.Cancelled {
+			t.Errorf("%s says %+v", n, s)
+		}
+	}
+}
+
+func TestCancellationBeatsBindingsThatAreOnTheirWay(t *testing.T) {
+	w := newWorld(t).ready()
+	for i := range 8 {
+		id := fmt.Sprintf("req-free-%d", i)
+		accepted(t, w.submit(nodeNames[i%3], id, 6, ""))
+		w.run(time.Duration(i)*700*time.Millisecond, nil)
+		if s := stateOf(t, w.cancelJob(nodeNames[(i+1)%3], id)); s.State != protocol.Cancelled && s.State != protocol.Done {
+			t.Errorf("%s is %+v", id, s)
+		}
+	}
+	w.run(25*time.Second, nil)
+	for i := range 8 {
+		if n := w.onMachines(fmt.Sprintf("req-free-%d", i)); n != 0 {
+			t.Errorf("job %d has %d tasks left", i, n)
+		}
+	}
+}
+
+func TestSilentMachineIsGivenBackAndItsTasksRunElsewhere(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 6, ""))
+	if !w.run(time.Minute, func() bool { return w.onMachines("req-blue-1") > 2 }) {
+		t.Fatal("job does not start")
+	}
+	for _, f := range w.workers {
+		f.dead = true
+	}
+	if !w.run(3*time.Minute, w.finished("req-blue-1")) {
+		t.Fatal("job does not end")
+	}
+}
+
+func TestLimitCountsBindingsThatAreNotSettled(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-red-1", 30, ""))
+	most := 0.0
+	for range 40 {
+		w.run(time.Second, nil)
+		most = max(most, w.inUse("red"))
+	}
+	if most != 16 {
+		t.Errorf("the most CPUs in use were %v, want the limit of 16", most)
+	}
+}
+
+func TestLimitOfZeroMeansNone(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-free-1", 30, ""))
+	if !w.run(3*time.Minute, w.finished("req-free-1")) {
+		t.Fatal("a team without a limit does not run")
+	}
+}
+
+func TestJobsThatCanNeverRunAreRefused(t *testing.T) {
+	w := newWorld(t).ready()
+	for name, body := range map[string]string{
+		"unknown team":      submission("req-x-1", "nobody", 1, ""),
+		"task fits nowhere": submission("req-x-2", "blue", 1, `,"vcpus":64.0`),
+		"over the limit":    submission("req-x-3", "red", 1, `,"vcpus":17.0`),
+		"gang over limit":   submission("req-x-4", "red", 9, `,"shape":"group"`),
+		"unknown type":      submission("req-x-5", "blue", 1, `,"builds":["none"]`),
+	} {
+		a := w.ask("a", func(req uint64) Command { return Submit{Req: req, Body: []byte(body)} })
+		if a.Status != http.StatusUnprocessableEntity {
+			t.Errorf("%s: got %d", name, a.Status)
+		}
+	}
+}
+
+func TestGangRunsAsOneAttempt(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 4, `,"shape":"group","samePlace":true`))
+	if !w.run(time.Minute, func() bool { return w.onMachines("req-blue-1") == 4 }) {
+		t.Fatal("gang does not start whole")
+	}
+	zones, attempts := map[string]bool{}, map[uint64]bool{}
+	for _, f := range w.workers {
+		for _, task := range f.Tasks {
+			zones[f.Zone], attempts[task.Attempt] = true, true
+		}
+	}
+	if len(zones) != 1 || len(attempts) != 1 {
+		t.Errorf("gang is in %d zones with %d attempts", len(zones), len(attempts))
+	}
+	if !w.run(time.Minute, w.finished("req-blue-1")) {
+		t.Fatal("gang does not end")
+	}
+}
+
+func TestHugeArrayStaysWithinTheLimitsOfTheStore(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", job.MaxTasks, ""))
+	w.run(20*time.Second, nil) // the world checks every transaction
+	if n := w.onMachines("req-blue-1"); n == 0 {
+		t.Error("nothing of it runs")
+	}
+}
+
+func TestNodeAloneWithoutTheStoreIsUnhealthyButNotInACommonOutage(t *testing.T) {
+	w := newWorld(t).ready()
+	health := func() int {
+		return w.ask("a", func(req uint64) Command { return Health{Req: req} }).Status
+	}
+	w.send("a", StoreHealth{OK: false})
+	w.run(time.Second, nil)
+	if got := health(); got != http.StatusServiceUnavailable {
+		t.Errorf("alone: got %d", got)
+	}
+	w.send("b", StoreHealth{OK: false})
+	w.run(2*time.Second, nil)
+	if got := health(); got != http.StatusOK {
+		t.Errorf("common outage: got %d", got)
+	}
+}
+
+func TestReportsWithNonsenseAreHarmless(t *testing.T) {
+	w := newWorld(t).ready()
+	for i, task := range []string{"", "x", "req-1/", "req-1/-4", "req-1/99999999999", "req-unknown/0"} {
+		r := protocol.Report{Machine: "vm-odd", Address: "x", Type: "odd", Session: 1, Seq: uint64(i + 1),
+			Tasks: []protocol.TaskReport{{Task: task, Attempt: 1, State: "odd"}}}
+		if a := w.ask("a", func(req uint64) Command { return Beat{Req: req, Report: r} }); a.Status != http.StatusOK {
+			t.Errorf("report of %q got %d", task, a.Status)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"testing"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/placement"
+	"pepperlever/internal/protocol"
+)
+
+func offers() []Offer {
+	small := protocol.MachineType{Name: "small", CPUs: 4, MemoryGB: 16, Price: 1, SpotPrice: 0.4}
+	large := protocol.MachineType{Name: "large", CPUs: 32, MemoryGB: 128, Price: 7.5, SpotPrice: 3}
+	return []Offer{{small, "a", false}, {small, "a", true}, {large, "a", false}, {large, "a", true}}
+}
+
+func demand(cpus float64, tasks int, spot bool) Demand {
+	return Demand{&job.Spec{Need: job.Resources{CPUs: cpus, MemoryGB: 1}, Spot: spot}, tasks}
+}
+
+func TestRentsTheCheapestThatIsAllowed(t *testing.T) {
+	for name, c := range map[string]struct {
+		demand Demand
+		typ    string
+		spot   bool
+		count  int
+	}{
+		"small tasks":   {demand(2, 4, true), "small", true, 2},
+		"no spot":       {demand(2, 4, false), "small", false, 2},
+		"large task":    {demand(16, 2, true), "large", true, 1},
+		"large no spot": {demand(16, 3, false), "large", false, 2},
+	} {
+		got := Plan([]Demand{c.demand}, nil, offers(), 9)
+		if len(got) != 1 || got[0].Offer.Type.Name != c.typ || got[0].Offer.Spot != c.spot || got[0].Count != c.count {
+			t.Errorf("%s: got %+v", name, got)
+		}
+	}
+}
+
+func TestMachinesOnTheirWayAreNotRentedAgain(t *testing.T) {
+	room := job.Resources{CPUs: 32, MemoryGB: 128}
+	coming := []*placement.Host{{Type: "large", Zone: "a", Spot: true, Room: room, Size: room, Lasts: -1}}
+	if got := Plan([]Demand{demand(16, 2, true)}, coming, offers(), 9); len(got) != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestNothingIsRentedThatCannotHelp(t *testing.T) {
+	if got := Plan([]Demand{demand(64, 1, true)}, nil, offers(), 9); len(got) != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/core/placement/placement_test.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"testing"
+
+	"pepperlever/internal/core/job"
+)
+
+func host(id, zone string, cpus float64) *Host {
+	r := job.Resources{CPUs: cpus, MemoryGB: 100}
+	return &Host{ID: id, Type: "t", Zone: zone, Room: r, Size: r, Lasts: -1}
+}
+
+func spec(cpus float64, tasks int) *job.Spec {
+	return &job.Spec{Tasks: tasks, Need: job.Resources{CPUs: cpus, MemoryGB: 1}}
+}
+
+func TestRulesOfPlacementHold(t *testing.T) {
+	zoned, typed, oneZone, spread := spec(1, 1), spec(1, 1), spec(1, 4), spec(1, 5)
+	zoned.Zone, typed.Types, oneZone.OneZone, spread.Spread = "b", []string{}, true, true
+	spot := host("spot", "a", 4)
+	spot.Spot = true
+	for name, c := range map[string]struct {
+		spec  *job.Spec
+		host  *Host
+		zones Zones
+		want  bool
+	}{
+		"fits":                       {spec(4, 1), host("m", "a", 4), nil, true},
+		"too large":                  {spec(5, 1), host("m", "a", 4), nil, false},
+		"other zone":                 {zoned, host("m", "a", 4), nil, false},
+		"no type allowed":            {typed, host("m", "a", 4), nil, false},
+		"spot not allowed":           {spec(1, 1), spot, nil, false},
+		"same zone as the others":    {oneZone, host("m", "a", 4), Zones{"a": 2}, true},
+		"other zone than the others": {oneZone, host("m", "a", 4), Zones{"b": 1}, false},
+		"a zone that is not known":   {oneZone, host("m", "a", 4), Zones{"?": 1}, false},
+		"half, rounded up":           {spread, host("m", "a", 4), Zones{"a": 2}, true},
+		"more than half":             {spread, host("m", "a", 4), Zones{"a": 3}, false},
+	} {
+		if got := Allowed(c.spec, c.host, c.zones); got != c.want {
+			t.Errorf("%s: got %v", name, got)
+		}
+	}
+}
+
+func TestGangIsPlacedWholeOrNotAtAll(t *testing.T) {
+	hosts := []*Host{host("m1", "a", 4), host("m2", "b", 8)}
+	s := spec(4, 2)
+	s.OneZone = true
+	out := Gang(s, 2, hosts, nil)
+	if len(out) != 2 || out[0].ID != "m2" || out[1].ID != "m2" {
+		t.Fatalf("got %v", out)
+	}
+	if out := Gang(s, 2, hosts, nil); out != nil || hosts[0].Room.CPUs != 4 {
+		t.Errorf("half a gang was placed or room was lost: %v", out)
+	}
+}
+
+func TestLargeTaskIsNotStarvedBySmallOnes(t *testing.T) {
+	hosts := []*Host{host("m1", "a", 8), host("m2", "a", 8)}
+	hosts[0].Room.CPUs, hosts[1].Room.CPUs = 2, 4
+	Reserve(spec(8, 1), hosts)
+	if h := Choose(spec(1, 1), hosts, nil); h == nil || h.ID != "m1" {
+		t.Errorf("small task went to %v", h)
+	}
+}
+
+func TestMachineAboutToLeaveTakesOnlyWhatEndsInTime(t *testing.T) {
+	h := host("m", "a", 8)
+	h.Lasts = 10
+	long, short := spec(1, 1), spec(1, 1)
+	long.EstimateS, short.EstimateS = 20, 5
+	if Choose(long, []*Host{h}, nil) != nil || Choose(short, []*Host{h}, nil) == nil {
+		t.Error("the notice is not minded")
+	}
+}
--- /dev/null
+++ b/internal/core/world_test.go
@@ -0,0 +1,524 @@
+package core
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
+)
+
+// world plays scripted controllers, workers, cloud and state service against a
+// fake clock, and checks the rules on every start.
+type world struct {
+	t     *testing.T
+	rng   *rand.Rand
+	now   time.Duration
+	tick  time.Duration
+	cores map[string]*Core
+	inbox map[string][]Command
+	cut   map[string]bool // nodes without the store
+
+	kv       map[string]protocol.KeyValue
+	revision uint64
+	events   []protocol.Event
+	seen     map[string]uint64
+	leases   map[uint64]string
+	outage   bool
+
+	workers map[string]*fakeWorker
+	rented  int
+	// loseDo holds deliveries back instead of carrying them out.
+	loseDo bool
+	held   []Deliver
+	// unknown makes transactions be applied without an answer.
+	unknown int
+
+	answers map[uint64]Answer
+	nextReq uint64
+	starts  map[string]int
+	cfg     map[string]*settings.Settings
+}
+
+// fakeWorker follows the worker's side of the protocol.
+type fakeWorker struct {
+	protocol.Report
+	node    int
+	next    time.Duration
+	running map[taskAttempt]time.Duration // when it ends
+	dead    bool
+}
+
+var nodeNames = []string{"a", "b", "c"}
+
+func testSettings(node string) *settings.Settings {
+	s := &settings.Settings{Node: node}
+	for _, n := range nodeNames {
+		if n != node {
+			s.Peers = append(s.Peers, settings.Peer{Node: n})
+		}
+	}
+	p := &s.Params
+	p.Nodes = 3
+	p.Zones = []string{"z1", "z2"}
+	p.Teams = []settings.Team{{Name: "red", CPUs: 8, CPUsMax: 16}, {Name: "blue", CPUs: 8}, {Name: "free"}}
+	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.CancelS = 2, 16, 30
+	p.Workers.GangWaitS, p.Workers.GangPeerS = 30, 4
+	p.State.RPS, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps = 200, 40, 4, 8
+	p.Cloud.RPS, p.Cloud.ListLagS = 4, 4
+	return s
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(1, 2)), tick: 100 * time.Millisecond,
+		cores: map[string]*Core{}, inbox: map[string][]Command{}, cut: map[string]bool{},
+		kv: map[string]protocol.KeyValue{}, seen: map[string]uint64{}, leases: map[uint64]string{},
+		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{},
+		cfg: map[string]*settings.Settings{}}
+	for _, n := range nodeNames {
+		w.boot(n)
+	}
+	return w
+}
+
+// boot starts a controller, or starts it again.
+func (w *world) boot(node string) {
+	w.cfg[node] = testSettings(node)
+	w.nextReq++
+	w.cores[node] = New(w.cfg[node], settings.DefaultPolicy(), fmt.Sprint(node, w.nextReq))
+	w.inbox[node] = nil
+	w.load(node)
+	lease := w.nextReq
+	w.leases[lease] = node
+	w.send(node, LeaseUp{Lease: lease})
+	for _, other := range nodeNames {
+		if w.cores[other] != nil && other != node {
+			w.send(node, PeerUp{Node: other})
+			w.send(other, PeerUp{Node: node})
+		}
+	}
+}
+
+// crash ends a controller; expire ends its lease.
+func (w *world) crash(node string) {
+	delete(w.cores, node)
+	for _, other := range nodeNames {
+		if w.cores[other] != nil {
+			w.send(other, PeerDown{Node: node})
+		}
+	}
+}
+
+func (w *world) expire(node string) {
+	for lease, n := range w.leases {
+		if n != node {
+			continue
+		}
+		delete(w.leases, lease)
+		for _, key := range slices.Sorted(maps.Keys(w.kv)) {
+			if w.kv[key].Lease == lease {
+				w.change(protocol.Change{Delete: key})
+			}
+		}
+	}
+}
+
+func (w *world) load(node string) {
+	l := Loaded{Revision: w.revision}
+	for _, key := range slices.Sorted(maps.Keys(w.kv)) {
+		if strings.HasPrefix(key, Root) {
+			l.Items = append(l.Items, w.kv[key])
+		}
+	}
+	w.seen[node] = uint64(len(w.events))
+	w.send(node, l)
+}
+
+func (w *world) send(node string, c Command) { w.inbox[node] = append(w.inbox[node], c) }
+
+// run plays for d, or until done says so.
+func (w *world) run(d time.Duration, done func() bool) bool {
+	for end := w.now + d; w.now < end; w.now += w.tick {
+		if done != nil && done() {
+			return true
+		}
+		w.tendWorkers()
+		for _, node := range nodeNames {
+			w.step(node)
+		}
+	}
+	return done != nil && done()
+}
+
+func (w *world) step(node string) {
+	c := w.cores[node]
+	if c == nil {
+		return
+	}
+	if !w.outage && !w.cut[node] && w.seen[node] < uint64(len(w.events)) {
+		w.send(node, Watched{Revision: w.revision, Events: slices.Clone(w.events[w.seen[node]:])})
+		w.seen[node] = uint64(len(w.events))
+	}
+	batch := w.inbox[node]
+	w.inbox[node] = nil
+	for _, e := range c.Step(Now{Steady: w.now, Wall: w.now.Milliseconds()}, batch) {
+		w.carryOut(node, e)
+	}
+}
+
+func (w *world) carryOut(node string, e Effect) {
+	switch e := e.(type) {
+	case Answer:
+		w.answers[e.Req] = e
+	case StoreTxn:
+		w.txn(node, e)
+	case StoreGet:
+		w.get(node, e)
+	case StoreReload:
+		w.load(node)
+	case SendPeer:
+		if w.cores[e.Node] != nil {
+			w.send(e.Node, PeerIn{Node: node, Msg: e.Msg})
+		}
+	case Deliver:
+		if w.loseDo {
+			w.held = append(w.held, e)
+			w.send(node, Delivered{Machine: e.Machine, Orders: e.Orders})
+			return
+		}
+		w.deliver(node, e)
+	case FetchCatalog:
+		w.send(node, CatalogIn{Types: []protocol.MachineType{
+			{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"z1", "z2"}},
+		}})
+	case FetchList:
+		w.list(node)
+	case Rent:
+		var names []string
+		for range e.Rental.Count {
+			names = append(names, w.addWorker(e.Rental.Zone, e.Rental.Spot))
+		}
+		w.send(node, Rented{Rental: e.Rental, Outcome: Applied, Machines: names})
+	case Release:
+		for _, m := range e.Machines {
+			delete(w.workers, m)
+		}
+		w.send(node, Released{Machines: e.Machines, OK: true})
+	}
+}
+
+func (w *world) list(node string) {
+	var l ListIn
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		f := w.workers[id]
+		l.Machines = append(l.Machines, protocol.ListedMachine{ID: id, Type: f.Type, Zone: f.Zone, Spot: f.Spot, State: protocol.Running})
+	}
+	w.send(node, l)
+}
+
+func (w *world) change(ch protocol.Change) {
+	w.revision++
+	w.apply(ch)
+}
+
+func (w *world) apply(ch protocol.Change) {
+	if ch.Delete != "" {
+		if _, ok := w.kv[ch.Delete]; ok {
+			delete(w.kv, ch.Delete)
+			w.note(protocol.Event{Delete: ch.Delete, Version: w.revision})
+		}
+		return
+	}
+	w.kv[ch.Put] = protocol.KeyValue{Key: ch.Put, Value: slices.Clone(ch.Value), Version: w.revision, Lease: ch.Lease}
+	w.note(protocol.Event{Put: ch.Put, Value: slices.Clone(ch.Value), Version: w.revision})
+}
+
+func (w *world) note(e protocol.Event) {
+	if strings.HasPrefix(e.Put+e.Delete, Root) {
+		w.events = append(w.events, e)
+	}
+}
+
+func (w *world) txn(node string, e StoreTxn) {
+	if w.outage || w.cut[node] {
+		w.send(node, StoreReply{ID: e.ID, Outcome: Refused})
+		return
+	}
+	p := w.cfg[node].Params.State
+	if len(e.Txn.Then) > p.TxnOps || len(e.Txn.If) > 4*p.TxnOps {
+		w.t.Errorf("transaction of %d changes and %d conditions", len(e.Txn.Then), len(e.Txn.If))
+	}
+	r := StoreReply{ID: e.ID}
+	for _, cond := range e.Txn.If {
+		if w.kv[cond.Key].Version != cond.Version {
+			r.Failed = append(r.Failed, cond.Key)
+		}
+	}
+	if len(r.Failed) > 0 {
+		r.Outcome, r.Revision = Conflict, w.revision
+	} else {
+		w.revision++
+		for _, ch := range e.Txn.Then {
+			if float64(len(ch.Value)) > p.ValueKB*1024 {
+				w.t.Errorf("value of %s has %d bytes", ch.Put, len(ch.Value))
+			}
+			w.apply(ch)
+		}
+		r.Revision = w.revision
+	}
+	if w.unknown > 0 {
+		w.unknown--
+		r = StoreReply{ID: e.ID, Outcome: Unknown}
+	}
+	w.send(node, r)
+}
+
+func (w *world) get(node string, e StoreGet) {
+	r := StoreReply{ID: e.ID, Outcome: Missing, Revision: w.revision}
+	if kv, ok := w.kv[e.Key]; ok {
+		r.Outcome, r.Item = Applied, kv
+	}
+	if w.outage || w.cut[node] {
+		r = StoreReply{ID: e.ID, Outcome: Refused}
+	}
+	w.send(node, r)
+}
+
+func (w *world) addWorker(zone string, spot bool) string {
+	w.rented++
+	id := fmt.Sprintf("vm-%06d", w.rented)
+	w.workers[id] = &fakeWorker{running: map[taskAttempt]time.Duration{}, node: w.rented,
+		next:   w.now + 3*time.Second,
+		Report: protocol.Report{Machine: id, Address: id, Type: "small", Zone: zone, Spot: spot, Session: 1}}
+	return id
+}
+
+// tendWorkers lets tasks end and reports go out.
+func (w *world) tendWorkers() {
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		f := w.workers[id]
+		if f == nil || f.dead {
+			continue
+		}
+		changed := false
+		for i, task := range f.Tasks {
+			end, ok := f.running[taskAttempt{task.Task, task.Attempt}]
+			if ok && task.State == protocol.Running && w.now >= end {
+				f.Tasks[i].State, f.Tasks[i].Why = protocol.Exited, protocol.WhyDone
+				changed = true
+			}
+		}
+		if w.now >= f.next || changed {
+			w.report(f)
+		}
+	}
+}
+
+// report sends a report to the worker's node and takes the answer at once.
+func (w *world) report(f *fakeWorker) {
+	f.next = w.now + 2*time.Second
+	node := nodeNames[f.node%len(nodeNames)]
+	c := w.cores[node]
+	if c == nil {
+		f.node++
+		return
+	}
+	f.Seq++
+	w.nextReq++
+	req := w.nextReq
+	w.send(node, Beat{Req: req, Report: w.snapshot(f)})
+	for range 4 {
+		w.step(node)
+	}
+	a, ok := w.answers[req]
+	delete(w.answers, req)
+	orders, isOrders := a.Body.(protocol.Orders)
+	if !ok || a.Status != http.StatusOK || !isOrders {
+		f.node++
+		return
+	}
+	if orders.Token >= f.Token {
+		f.Token = orders.Token
+		w.execute(f, orders.Commands)
+	}
+}
+
+func (w *world) snapshot(f *fakeWorker) protocol.Report {
+	r := f.Report
+	r.Tasks = slices.Clone(f.Tasks)
+	return r
+}
+
+// deliver carries a direct call out as a worker would, early or late.
+func (w *world) deliver(node string, d Deliver) {
+	f := w.workers[d.Machine]
+	out := Delivered{Machine: d.Machine, Orders: d.Orders}
+	if f != nil && !f.dead {
+		f.Seq++
+		if d.Orders.Token >= f.Token && d.Orders.Session == f.Session {
+			f.Token = d.Orders.Token
+			w.execute(f, d.Orders.Commands)
+			out.Executed = true
+		}
+		r := w.snapshot(f)
+		out.Report = &r
+	}
+	if w.cores[node] != nil {
+		w.send(node, out)
+	}
+}
+
+func (w *world) execute(f *fakeWorker, commands []protocol.Command) {
+	for _, cmd := range commands {
+		key := taskAttempt{cmd.Task, cmd.Attempt}
+		at := slices.IndexFunc(f.Tasks, func(t protocol.TaskReport) bool {
+			return t.Task == cmd.Task && t.Attempt == cmd.Attempt
+		})
+		switch cmd.Op {
+		case protocol.OpStart:
+			if at < 0 {
+				w.checkStart(f, cmd.Task)
+				f.Tasks = append(f.Tasks, protocol.TaskReport{Task: cmd.Task, Attempt: cmd.Attempt, State: protocol.Running})
+				f.running[key] = w.now + 5*time.Second
+			}
+		case protocol.OpStop:
+			if at >= 0 && f.Tasks[at].State != protocol.Exited {
+				f.Tasks[at].State, f.Tasks[at].Why = protocol.Exited, protocol.WhyStopped
+			}
+		case protocol.OpForget:
+			if at >= 0 && f.Tasks[at].State == protocol.Exited {
+				f.Tasks = slices.Delete(f.Tasks, at, at+1)
+				delete(f.running, key)
+			}
+		}
+	}
+}
+
+// checkStart checks the rules at the moment of a start.
+func (w *world) checkStart(f *fakeWorker, task string) {
+	w.starts[task]++
+	id, _, _ := job.SplitTask(task)
+	for other, g := range w.workers {
+		for _, t := range g.Tasks {
+			if t.Task == task && t.State != protocol.Exited {
+				w.t.Errorf("%v: %s starts on %s while it is on %s", w.now, task, f.Machine, other)
+			}
+		}
+	}
+	if s, ok := w.state(id); ok && s.State != protocol.Queued {
+		w.t.Errorf("%v: %s starts although its job is %s", w.now, task, s.State)
+	}
+	if used := w.inUse("red"); used > 16+1e-6 {
+		w.t.Errorf("%v: team red uses %v CPUs", w.now, used)
+	}
+}
+
+// inUse sums the CPUs of the tasks of a team's jobs, each named after the team.
+func (w *world) inUse(team string) float64 {
+	sum := 0.0
+	for _, g := range w.workers {
+		for _, t := range g.Tasks {
+			if strings.HasPrefix(t.Task, protocol.JobPrefix+team) && t.State != protocol.Exited {
+				sum += 2
+			}
+		}
+	}
+	return sum
+}
+
+func (w *world) state(id string) (stateKey, bool) {
+	var s stateKey
+	kv, ok := w.kv[keyState+id]
+	if ok {
+		if err := json.Unmarshal(kv.Value, &s); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	return s, ok
+}
+
+// ask sends a user's request to a node and plays until it is answered.
+func (w *world) ask(node string, make1 func(req uint64) Command) Answer {
+	w.t.Helper()
+	w.nextReq++
+	req := w.nextReq
+	w.send(node, make1(req))
+	if !w.run(10*time.Second, func() bool { _, ok := w.answers[req]; return ok }) {
+		w.t.Fatalf("%s does not answer", node)
+	}
+	return w.answers[req]
+}
+
+func (w *world) submit(node, id string, tasks int, more string) Answer {
+	w.t.Helper()
+	team := strings.TrimPrefix(id, protocol.JobPrefix)
+	team, _, _ = strings.Cut(team, "-")
+	body := submission(id, team, tasks, more)
+	return w.ask(node, func(req uint64) Command { return Submit{Req: req, Body: []byte(body)} })
+}
+
+func submission(id, team string, tasks int, more string) string {
+	return fmt.Sprintf(`{"uid":%q,"leverClass":"k","crew":%q,"shape":"batch","urgency":"normal","pieces":%d,
+	"vcpus":2.0,"accelerators":0.0,"memoryGb":1.0,"bundle":"i","pullGb":1.0,"builds":null,"yard":null,"samePlace":false,
+	"spread":false,"loaners":true,"guessS":5.0,"markEveryS":0.0,"markCostS":0.0,"dueS":60.0%s}`, id, team, tasks, more)
+}
+
+func (w *world) status(node, id string) Answer {
+	w.t.Helper()
+	return w.ask(node, func(req uint64) Command { return Status{Req: req, ID: id} })
+}
+
+func (w *world) cancelJob(node, id string) Answer {
+	w.t.Helper()
+	return w.ask(node, func(req uint64) Command { return Cancel{Req: req, ID: id} })
+}
+
+// ready plays until every node can take requests.
+func (w *world) ready() *world {
+	w.t.Helper()
+	if !w.run(20*time.Second, func() bool {
+		for _, n := range nodeNames {
+			c := w.cores[n]
+			if c == nil || !c.loaded || c.types == nil || c.term.term == 0 || c.fleet.home == "" {
+				return false
+			}
+		}
+		return true
+	}) {
+		w.t.Fatal("controllers do not get ready")
+	}
+	return w
+}
+
+func (w *world) finished(ids ...string) func() bool {
+	return func() bool {
+		for _, id := range ids {
+			if s, _ := w.state(id); s.State != protocol.Done {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// onMachines counts tasks of a job that are on machines.
+func (w *world) onMachines(id string) int {
+	n := 0
+	for _, f := range w.workers {
+		for _, t := range f.Tasks {
+			if strings.HasPrefix(t.Task, id+"/") && t.State != protocol.Exited {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -85,7 +86,7 @@
 	}
 	var s Settings
 	if err := toml.Unmarshal(raw, &s); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, fmt.Errorf("%s: %s", path, strings.ReplaceAll(err.Error(), "\n", " "))
 	}
 	if err := s.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
