--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -343,20 +343,40 @@
 	if len(demands) == 0 {
 		return
 	}
-	orders := fleet.Plan(demands, c.coming(), c.offers(), 4)
+	coming := c.coming()
+	orders := fleet.Plan(demands, coming, c.offers(c.backlog(coming)), 4)
 	for _, o := range orders[:min(len(orders), int(c.cfg.Params.Cloud.RPS))] {
 		c.rent(o)
 	}
 }
 
-// offers lists what the cloud has not refused lately.
-func (c *Core) offers() []fleet.Offer {
+// backlog is the time that the fleet, with what is coming, would take for the
+// work without a place.
+func (c *Core) backlog(coming []*placement.Host) time.Duration {
+	work, cpus := 0.0, c.totalCapacity()[0]
+	for _, d := range c.sched.unplaced {
+		work += float64(d.tasks) * d.spec.Need.CPUs * d.spec.EstimateS
+	}
+	for _, h := range coming {
+		cpus += h.Size.CPUs
+	}
+	if cpus == 0 {
+		return 1 << 62
+	}
+	return seconds(work / cpus)
+}
+
+// offers lists what the cloud has not refused lately. Ordinary machines cost
+// several times as much as spot ones, so they are for work that would wait
+// longer than they take to boot.
+func (c *Core) offers(backlog time.Duration) []fleet.Offer {
 	var out []fleet.Offer
 	for _, name := range slices.Sorted(maps.Keys(c.types)) {
 		t := c.types[name]
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				if spot && !c.policy.Spot || c.now.Steady < c.rental.blocked[offerKey{name, zone, spot}].until {
+				dear := !spot && t.SpotPrice < t.Price && c.policy.Spot && backlog < seconds(t.BootS)
+				if spot && !c.policy.Spot || dear || c.now.Steady < c.rental.blocked[offerKey{name, zone, spot}].until {
 					continue
 				}
 				out = append(out, fleet.Offer{Type: t, Zone: zone, Spot: spot})
