--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -114,6 +114,10 @@
 		delete(w.sent, k)
 	}
 	w.queue = nil
+	// Homes must not bind under the old term any more.
+	if m := c.machines[id]; m != nil {
+		c.share(Observation{Node: c.cfg.Node, Term: w.term, Report: m.Report})
+	}
 	c.deliver(id, w)
 }
 
@@ -183,7 +187,11 @@
 	for _, t := range r.Tasks {
 		delete(w.sent, taskAttempt{t.Task, t.Attempt})
 	}
-	o := Observation{Node: c.cfg.Node, Term: w.term, Report: r}
+	c.share(Observation{Node: c.cfg.Node, Term: w.term, Report: r})
+}
+
+// share passes an observation to every controller, this one included.
+func (c *Core) share(o Observation) {
 	for _, p := range c.cfg.Peers {
 		c.sendPeer(p.Node, PeerMsg{Observation: &o})
 	}
@@ -330,6 +338,10 @@
 		c.machines[r.Machine] = m
 		c.sched.dirty = true
 	} else if !m.Newer(&r) {
+		if m.Session == r.Session && o.Term > m.Term {
+			m.Node, m.Term = o.Node, o.Term
+			c.sched.dirty = true
+		}
 		return
 	}
 	if m.Node != o.Node || m.Term != o.Term || len(m.Tasks) != len(r.Tasks) {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -21,6 +21,8 @@
 	// Scale is its size relative to the largest type: small tasks go to small
 	// machines while there is a choice, since large ones need the others.
 	Scale float64
+	// Dear is its price beyond that of the cheapest kind, up to 1.
+	Dear float64
 	// Reserved is set while it is kept for a task that needs more room.
 	Reserved bool
 }
@@ -60,25 +62,24 @@
 	return best
 }
 
-// score adds up the share of the host that is in use afterwards, and a bonus
-// for an image that need not be fetched.
+// score prefers hosts that have the image, and then those that are full, cheap
+// and small, so that the others empty and can be returned.
 func score(s *job.Spec, h *Host) float64 {
 	left := h.Room.Plus(s.Need, -1)
-	used := 0.0
+	out := -h.Penalty - h.Dear - 2*h.Scale
 	if h.Size.CPUs > 0 {
-		used += 1 - left.CPUs/h.Size.CPUs
+		out -= left.CPUs / h.Size.CPUs
 	}
 	if h.Size.MemoryGB > 0 {
-		used += 1 - left.MemoryGB/h.Size.MemoryGB
+		out -= left.MemoryGB / h.Size.MemoryGB
 	}
-	out := used - h.Penalty
 	if h.Warm != nil && h.Warm(s.Image) {
 		out += 2
 	}
 	if h.Empty {
 		out--
 	}
-	return out - 2*h.Scale
+	return out
 }
 
 // Reserve keeps one host free of other tasks for a job that found no room, so
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -100,9 +101,12 @@
 func (c *Core) hosts() []*placement.Host {
 	load := c.bindLoad()
 	largest := 1.0
-	for _, t := range c.types {
+	cheapest := math.Inf(1)
+	for name, t := range c.types {
 		largest = max(largest, t.CPUs)
+		cheapest = min(cheapest, c.pricePerCPU(name, true), c.pricePerCPU(name, false))
 	}
+	cheapest = max(cheapest, 1e-9)
 	var out []*placement.Host
 	for _, id := range slices.Sorted(maps.Keys(c.machines)) {
 		m := c.machines[id]
@@ -116,11 +120,21 @@
 		if m.NoticeAt > 0 {
 			h.Lasts = (m.NoticeAt - c.now.Steady).Seconds()
 		}
+		h.Dear = min(1, c.pricePerCPU(m.Type, m.Spot)/cheapest-1)
 		out = append(out, h)
 	}
 	return out
 }
 
+// pricePerCPU is the nominal price per hour of a CPU on a kind of machine.
+func (c *Core) pricePerCPU(typ string, spot bool) float64 {
+	t := c.types[typ]
+	if spot {
+		return t.SpotPrice / max(t.CPUs, 1)
+	}
+	return t.Price / max(t.CPUs, 1)
+}
+
 // bindLoad sums what is bound to each machine. A task that its worker reports
 // as exited takes no room, even before its home has stored the end.
 func (c *Core) bindLoad() map[string]job.Resources {
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -46,6 +46,9 @@
 	}
 	if b := j.Bound[i]; b != nil && b.Stored && b.Attempt == r.Attempt && b.Machine == r.Machine {
 		c.log(Debug, "start was refused", "task", r.Task, "machine", r.Machine)
+		if m := c.machines[r.Machine]; m != nil {
+			m.FullAt = c.now.Steady // not again before something has changed
+		}
 		c.unbind(j, i)
 	}
 }
