--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -335,3 +335,28 @@
 		}
 	}
 }
+
+func TestNewRenterDoesNotGiveUpMachinesThatAreOnTheirWayToIt(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 12, ""))
+	w.run(40*time.Second, w.finished("req-blue-1"))
+	accepted(t, w.submit("b", "req-blue-2", 12, ""))
+	w.run(4*time.Second, nil)
+	before := w.onMachines("req-blue-2")
+	for _, n := range nodeNames {
+		w.crash(n)
+		w.expire(n)
+		w.boot(n)
+	}
+	w.now += 5 * time.Minute // the machines are old by the cloud's list
+	for _, f := range w.workers {
+		f.next = w.now + 5*time.Second
+		for k := range f.running {
+			f.running[k] = w.now + 10*time.Second
+		}
+	}
+	w.run(4*time.Second, nil)
+	if after := w.onMachines("req-blue-2"); before == 0 || after < before {
+		t.Errorf("%d tasks were on machines before the crash, %d after", before, after)
+	}
+}
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -132,7 +132,7 @@
 		}
 	}
 	if t == c.fleet {
-		c.rental.reset()
+		c.rental.reset(c.now.Steady)
 	}
 	c.sched.dirty = true
 }
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -26,6 +26,8 @@
 	// blocked remembers refusals per type, zone and kind.
 	blocked map[offerKey]block
 	doomed  map[string]string
+	// since is when this node became the renter.
+	since time.Duration
 }
 
 type offerKey struct {
@@ -45,7 +47,10 @@
 }
 
 // reset starts the renter's part over.
-func (s *rentState) reset() { *s = newRentState() }
+func (s *rentState) reset(now time.Duration) {
+	*s = newRentState()
+	s.since = now
+}
 
 func (c *Core) catalogIn(m CatalogIn) {
 	if c.types == nil {
@@ -143,21 +148,28 @@
 	return out
 }
 
-// tendListed releases machines that failed or never come up.
+// tendListed gives up machines that failed, never come up, or fell silent. A new
+// renter waits before it judges: workers may still be on their way to a node
+// that answers them, and after an end of all controllers every machine is new
+// to it.
 func (c *Core) tendListed() {
+	settled := c.now.Steady-c.rental.since > c.silence()
 	for id, l := range c.rental.listed {
-		if c.machines[id] != nil && l.State != protocol.Failed {
-			continue
-		}
-		boot := seconds(c.types[l.Type].BootS)
 		age := c.now.Steady - c.rental.came[id]
+		limit := 4*seconds(c.types[l.Type].BootS) + c.silence()
 		switch {
 		case l.State == protocol.Failed:
 			c.doom(id, "failed")
-		case age > 4*boot+c.silence()+2*seconds(c.cfg.Params.Cloud.ListLagS):
+		case c.machines[id] != nil || !settled:
+		case l.State == protocol.Booting && age > limit:
 			c.doom(id, "does not come up")
+		case l.State != protocol.Booting && c.now.Steady-c.rental.since > limit && age > limit:
+			c.doom(id, "never heard")
 		}
 	}
+	if !settled {
+		return
+	}
 	for id, m := range c.machines {
 		if c.now.Steady-m.Seen > c.silence() && c.everyoneHeard() {
 			c.doom(id, "silent")
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -220,7 +220,7 @@
 	var l ListIn
 	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
 		f := w.workers[id]
-		l.Machines = append(l.Machines, protocol.ListedMachine{ID: id, Type: f.Type, Zone: f.Zone, Spot: f.Spot, State: protocol.Running})
+		l.Machines = append(l.Machines, protocol.ListedMachine{ID: id, Type: f.Type, Zone: f.Zone, Spot: f.Spot, State: protocol.Running, AgeS: w.now.Seconds()})
 	}
 	w.send(node, l)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -53,9 +53,10 @@
 func (s *Store) patience() time.Duration { return s.report() * 2 / 3 }
 func (s *Store) wait() time.Duration     { return s.report() }
 
-// ttl is the time to live of this node's lease.
+// ttl is the time to live of this node's lease: short, since an early end costs
+// a change of homes and nothing else.
 func (s *Store) ttl() time.Duration {
-	return time.Duration(s.cfg.Params.Workers.LeaseS * float64(time.Second) / 4)
+	return time.Duration(s.cfg.Params.Workers.LeaseS * float64(time.Second) / 8)
 }
 
 // Run works until ctx ends.
