--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -439,6 +439,7 @@
 		}
 		c.storeIntent(m.Rental.Request, i)
 	case Refused:
+		c.timers.fleet = 0 // the next offer is tried at once
 		c.refusedOffer(key)
 		i.Machines, i.busy = []string{}, true
 		c.dropIntent(m.Rental.Request, i)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -203,6 +203,10 @@
 	case FetchList:
 		w.list(node)
 	case Rent:
+		if len(w.workers) >= 40 {
+			w.send(node, Rented{Rental: e.Rental, Outcome: Refused})
+			return
+		}
 		var names []string
 		for range e.Rental.Count {
 			names = append(names, w.addWorker(e.Rental.Zone, e.Rental.Spot))
