--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -2,6 +2,9 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
+
 	"pepperlever/internal/core/job"
 )
 
@@ -82,6 +85,33 @@
 	return out
 }
 
+// spareShare is the part of the whole room that stays open for work to come
+// when hosts are drained.
+const spareShare = 0.1
+
+// Drain makes the dearest and emptiest hosts the last choice for as long as the
+// others have room to spare, so that they empty and can be returned.
+func Drain(hosts []*Host) {
+	order := slices.Clone(hosts)
+	slices.SortStableFunc(order, func(a, b *Host) int {
+		return cmp.Or(cmp.Compare(b.Dear, a.Dear), cmp.Compare(a.Size.CPUs-a.Room.CPUs, b.Size.CPUs-b.Room.CPUs))
+	})
+	total, spare := 0.0, 0.0
+	for _, h := range hosts {
+		total += h.Size.CPUs
+		spare += max(0, h.Room.CPUs)
+	}
+	for _, h := range order {
+		if spare -= max(0, h.Room.CPUs); spare < total*spareShare {
+			return
+		}
+		h.Penalty += drained
+	}
+}
+
+// drained outweighs all other preferences.
+const drained = 8
+
 // Reserve keeps one host free of other tasks for a job that found no room, so
 // that smaller tasks do not take every gap before a large one opens. It is the
 // one that already has the most room.
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -74,3 +74,17 @@
 		t.Error("the notice is not minded")
 	}
 }
+
+func TestDearHostsEmptyWhileOthersHaveRoom(t *testing.T) {
+	dear, cheap := host("dear", "a", 8), host("cheap", "a", 32)
+	dear.Dear, dear.Room.CPUs = 1, 1 // nearly full, so the better fit
+	hosts := []*Host{dear, cheap}
+	Drain(hosts)
+	if h := Choose(spec(1, 1), hosts, nil); h != cheap {
+		t.Errorf("task went to %s", h.ID)
+	}
+	cheap.Room.CPUs = 0
+	if h := Choose(spec(1, 1), hosts, nil); h != dear {
+		t.Error("a drained host is no choice at all")
+	}
+}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -195,7 +195,9 @@
 	if len(turns) == 0 {
 		return
 	}
-	c.place(turns, ranked, c.hosts())
+	hosts := c.hosts()
+	placement.Drain(hosts)
+	c.place(turns, ranked, hosts)
 }
 
 // turns lists the teams that wait, with their jobs in order.
