--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -294,7 +295,11 @@
 	}
 	if d.Report == nil {
 		c.log(Info, "delivery got no answer", "machine", d.Machine, "commands", len(d.Orders.Commands))
-		c.fence(Fence{Machine: d.Machine, Above: d.Orders.Token})
+		// Without a start nothing is unresolved: a machine that hangs costs one
+		// term, not one for every probe that it does not answer.
+		if slices.ContainsFunc(d.Orders.Commands, func(cmd protocol.Command) bool { return cmd.Op == protocol.OpStart }) {
+			c.fence(Fence{Machine: d.Machine, Above: d.Orders.Token})
+		}
 		return
 	}
 	if !d.Executed {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -360,3 +360,27 @@
 		t.Errorf("%d tasks were on machines before the crash, %d after", before, after)
 	}
 }
+
+func TestHungMachineCostsOneTermNotOnePerProbe(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 2, ""))
+	if !w.run(time.Minute, w.finished("req-blue-1")) {
+		t.Fatal("job does not end")
+	}
+	highest := func() uint64 {
+		most := uint64(0)
+		for _, c := range w.cores {
+			most = max(most, c.term.term)
+		}
+		return most
+	}
+	for _, f := range w.workers {
+		f.dead = true
+	}
+	before := highest()
+	accepted(t, w.submit("b", "req-blue-2", 2, ""))
+	w.run(15*time.Second, nil)
+	if taken := highest() - before; taken == 0 || taken > 4 {
+		t.Errorf("%d terms were taken, want one or a few", taken)
+	}
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -381,6 +381,7 @@
 	}
 }
 
+// execute carries commands out in order.
 func (w *world) execute(f *fakeWorker, commands []protocol.Command) {
 	for _, cmd := range commands {
 		key := taskAttempt{cmd.Task, cmd.Attempt}
