--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -24,7 +24,9 @@
 	orders map[taskAttempt]protocol.Command
 	busy   bool
 	probe  bool
-	heard  time.Duration
+	// mute is set from a delivery without an answer to the next report.
+	mute  bool
+	heard time.Duration
 }
 
 type taskAttempt struct {
@@ -161,9 +163,46 @@
 	}
 	w.address, w.heard = r.Address, c.now.Steady
 	c.reported(w, *r)
+	if to := c.lighter(r); to != "" {
+		delete(c.own, r.Machine)
+		c.log(Info, "worker sent elsewhere", "machine", r.Machine, "node", to)
+		c.answer(m.Req, http.StatusMisdirectedRequest, protocol.Redirect{ReportTo: to})
+		return
+	}
 	c.answer(m.Req, http.StatusOK, protocol.Orders{Token: w.term, Commands: w.takeOrders()})
 }
 
+// lighter names a controller that a worker should report to instead, or
+// nothing. It is one that hears clearly fewer workers, and some of them from
+// this worker's zone, so that it can be reached from there. Workers with
+// something under way stay, and only one is sent on at a time.
+func (c *Core) lighter(r *protocol.Report) string {
+	w := c.own[r.Machine]
+	if c.now.Steady < c.timers.spread || len(w.queue)+len(w.orders)+len(w.sent) > 0 || w.busy {
+		return ""
+	}
+	heard, near := map[string]int{}, map[string]bool{}
+	for _, m := range c.machines {
+		if c.now.Steady-m.Seen < 2*c.reportInterval() {
+			heard[m.Node]++
+			near[m.Node] = near[m.Node] || m.Zone == r.Zone
+		}
+	}
+	best := ""
+	for _, p := range c.cfg.Peers {
+		state := c.peers[p.Node]
+		able := state.connected && state.storeOK && c.now.Steady-state.seen < c.reportInterval()
+		if able && (near[p.Node] || heard[p.Node] == 0) && (best == "" || heard[p.Node] < heard[best]) {
+			best = p.Node
+		}
+	}
+	if best == "" || heard[c.cfg.Node] < heard[best]+heard[c.cfg.Node]/4+2 {
+		return ""
+	}
+	c.timers.spread = c.now.Steady + c.reportInterval()/3
+	return best
+}
+
 func (c *Core) adopt(r *protocol.Report) *control {
 	w := &control{term: c.term.term, session: r.Session, address: r.Address,
 		sent: map[taskAttempt]job.Resources{}, orders: map[taskAttempt]protocol.Command{}}
@@ -185,6 +224,7 @@
 
 // reported takes a report of a worker that this node controls and passes it on.
 func (c *Core) reported(w *control, r protocol.Report) {
+	w.mute = false
 	for _, t := range r.Tasks {
 		delete(w.sent, taskAttempt{t.Task, t.Attempt})
 	}
@@ -223,6 +263,8 @@
 		return "term has passed"
 	case w.session != s.Session:
 		return "session has passed"
+	case w.mute:
+		return "worker does not answer"
 	case !c.fitsNow(s, w):
 		return "no room"
 	}
@@ -294,6 +336,7 @@
 		}
 	}
 	if d.Report == nil {
+		w.mute = true
 		c.log(Info, "delivery got no answer", "machine", d.Machine, "commands", len(d.Orders.Commands))
 		// Without a start nothing is unresolved: a machine that hangs costs one
 		// term, not one for every probe that it does not answer.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -384,3 +384,47 @@
 		t.Errorf("%d terms were taken, want one or a few", taken)
 	}
 }
+
+func TestWorkersSpreadAgainAfterACrash(t *testing.T) {
+	w := newWorld(t).ready()
+	for range 12 {
+		w.addWorker("z1", false)
+	}
+	w.crash("b")
+	w.expire("b")
+	w.crash("c")
+	w.expire("c")
+	accepted(t, w.submit("a", "req-free-1", 900, ""))
+	w.run(10*time.Second, nil)
+	w.boot("b")
+	w.boot("c")
+	w.run(20*time.Second, nil)
+	for _, n := range nodeNames {
+		if got := len(w.cores[n].own); got < 3 {
+			t.Errorf("%s hears %d workers of %d", n, got, len(w.workers))
+		}
+	}
+}
+
+func TestStartsAreRefusedWhileAWorkerDoesNotAnswer(t *testing.T) {
+	w := newWorld(t).ready()
+	c := w.cores["a"]
+	for range nodeNames {
+		w.addWorker("z1", false)
+	}
+	w.run(8*time.Second, func() bool { return len(c.own) > 0 })
+	for id, k := range c.own {
+		s := Start{Machine: id, Task: "req-blue-1/0", Attempt: 1, Term: k.term, Session: k.session, Need: job.Resources{CPUs: 1}}
+		if why := c.cannotStart(k, s); why != "" {
+			t.Errorf("healthy: %s", why)
+		}
+		w.send("a", Delivered{Machine: id, Orders: protocol.Orders{Token: k.term}})
+		w.step("a")
+		if why := c.cannotStart(k, s); why == "" {
+			t.Error("a worker without an answer takes starts")
+		}
+		return
+	}
+	w.workers = nil
+	t.Fatal("no worker reports to a")
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -345,6 +345,11 @@
 	}
 	a, ok := w.answers[req]
 	delete(w.answers, req)
+	if to, ok := a.Body.(protocol.Redirect); ok {
+		f.node = slices.Index(nodeNames, to.ReportTo)
+		f.next = w.now + 500*time.Millisecond
+		return
+	}
 	orders, isOrders := a.Body.(protocol.Orders)
 	if !ok || a.Status != http.StatusOK || !isOrders {
 		f.node++
