--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -9,6 +9,7 @@
 
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
 )
 
 func accepted(t *testing.T, a Answer) {
@@ -428,3 +429,54 @@
 	w.workers = nil
 	t.Fatal("no worker reports to a")
 }
+
+func TestUrgentWorkMayStopNormalWorkButNotTheOtherWayRound(t *testing.T) {
+	c := New(testSettings("a"), settings.DefaultPolicy(), "x")
+	task := func(team string, priority, bound int) *job.Job {
+		j := job.New(job.Spec{ID: fmt.Sprint("req-", team, priority), Team: team, Priority: priority, Tasks: 9,
+			Need: job.Resources{CPUs: 2}}, 64, 0)
+		for i := range bound {
+			j.Bind(i, &job.Binding{})
+		}
+		c.addJob(c.teamBy[team], j)
+		return j
+	}
+	urgent, normal := task("free", priorityNormal-1, 0), task("free", priorityNormal, 1)
+	within, above := task("red", priorityNormal, 3), task("blue", priorityNormal-1, 5)
+	for name, k := range map[string]struct {
+		starved, victim *job.Job
+		want            bool
+	}{
+		"a higher priority":                      {urgent, normal, true},
+		"a lower priority":                       {normal, urgent, false},
+		"a guarantee against work above its own": {within, above, true},
+		"no guarantee":                           {normal, above, false},
+		"equal priority of the same team":        {normal, normal, false},
+	} {
+		if got := c.mayStop(k.starved, k.victim); got != k.want {
+			t.Errorf("%s: got %v", name, got)
+		}
+	}
+}
+
+func TestBrokenGangIsStoppedAndStartsAgainWhole(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 4, `,"shape":"group"`))
+	if !w.run(time.Minute, func() bool { return w.onMachines("req-blue-1") == 4 }) {
+		t.Fatal("gang does not start whole")
+	}
+	for _, f := range w.workers {
+		if len(f.Tasks) > 0 {
+			f.dead = true
+			break
+		}
+	}
+	for _, f := range w.workers {
+		for k := range f.running {
+			f.running[k] = w.now + 40*time.Second
+		}
+	}
+	if !w.run(3*time.Minute, w.finished("req-blue-1")) {
+		t.Fatal("gang does not end")
+	}
+}
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -64,8 +64,10 @@
 	StoredAt, CancelledAt time.Duration
 	// WaitingSince is when the job last got room or was accepted.
 	WaitingSince time.Duration
-	low          int
-	stored       map[int]bool
+	// PreemptedAt is when room was last made for it.
+	PreemptedAt time.Duration
+	low         int
+	stored      map[int]bool
 }
 
 // New makes a job of a Spec.
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -28,6 +28,8 @@
 	condemned  map[string]time.Duration
 	// unplaced is the demand that found no room in the last round.
 	unplaced []demand
+	// starved holds this node's jobs among them.
+	starved []*job.Job
 }
 
 // demand is a number of like tasks without a place.
@@ -190,7 +192,7 @@
 		return
 	}
 	c.sched.next, c.sched.dirty = c.now.Steady+interval, false
-	c.sched.unplaced = nil
+	c.sched.unplaced, c.sched.starved = nil, nil
 	turns, ranked := c.turns()
 	if len(turns) == 0 {
 		return
@@ -198,6 +200,9 @@
 	hosts := c.hosts()
 	placement.Drain(hosts, c.policy.Spare)
 	c.place(turns, ranked, hosts)
+	if c.policy.Preemption {
+		c.preempt(hosts)
+	}
 }
 
 // turns lists the teams that wait, with their jobs in order.
@@ -330,6 +335,9 @@
 	}
 	u.used = used
 	c.sched.unplaced = append(c.sched.unplaced, demand{&j.Spec, fit})
+	if u.team.acting && fit > 0 {
+		c.sched.starved = append(c.sched.starved, j)
+	}
 }
 
 // plannedWaiting is the number of tasks that this round has not placed yet.
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -238,6 +238,8 @@
 			}
 			if j.Cancelled {
 				c.stopCancelled(j)
+			} else {
+				c.drain(j)
 			}
 		}
 	}
@@ -307,6 +309,30 @@
 	}
 }
 
+// drain stops tasks that can save before their machine is taken away, and the
+// rest of a gang that has lost a task: it starts again whole. A gang is stopped
+// as one, so that its progress is saved.
+func (c *Core) drain(j *job.Job) {
+	broken := j.Kind == job.Gang && j.Waiting() > 0 && j.Done.Len() == 0
+	leaving := false
+	for i, b := range j.Bound {
+		m := c.machines[b.Machine]
+		last := m != nil && m.NoticeAt > 0 && j.CheckpointS > 0 &&
+			m.NoticeAt-c.now.Steady < seconds(j.SaveS)+2*c.reportInterval()
+		leaving = leaving || last
+		if b.Sent && (broken || last && j.Kind != job.Gang) {
+			c.stop(j, i, b, j.SaveS)
+		}
+	}
+	if leaving && j.Kind == job.Gang {
+		for i, b := range j.Bound {
+			if b.Sent {
+				c.stop(j, i, b, j.SaveS)
+			}
+		}
+	}
+}
+
 // condemn asks the renter to give a machine back with all that is on it.
 func (c *Core) condemn(machine, why string) {
 	if at, ok := c.sched.condemned[machine]; ok && c.now.Steady-at < c.reportInterval() {
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -29,6 +29,20 @@
 	Errors int
 
 	tasks map[string]map[uint64]protocol.TaskReport
+	since map[taskAttempt]time.Duration
+}
+
+type taskAttempt struct {
+	task    string
+	attempt uint64
+}
+
+// Ran is how long a task has been seen running.
+func (m *Machine) Ran(task string, attempt uint64, now time.Duration) time.Duration {
+	if at, ok := m.since[taskAttempt{task, attempt}]; ok {
+		return now - at
+	}
+	return 0
 }
 
 // image is an image that a machine has or fetches.
@@ -77,7 +91,15 @@
 func (m *Machine) Update(r protocol.Report, now time.Duration) {
 	m.Report, m.Exits = r, 0
 	m.tasks = make(map[string]map[uint64]protocol.TaskReport, len(r.Tasks))
+	before := m.since
+	m.since = make(map[taskAttempt]time.Duration, len(r.Tasks))
 	for _, t := range r.Tasks {
+		if key := (taskAttempt{t.Task, t.Attempt}); t.State == protocol.Running {
+			m.since[key] = now
+			if at, ok := before[key]; ok {
+				m.since[key] = at
+			}
+		}
 		if m.tasks[t.Task] == nil {
 			m.tasks[t.Task] = map[uint64]protocol.TaskReport{}
 		}
--- a/internal/settings/policy.go
+++ b/internal/settings/policy.go
@@ -18,6 +18,9 @@
 	// Spare is the part of the fleet's room that stays open for work to come
 	// while dear and empty machines are drained.
 	Spare float64
+	// Preemption allows stopping tasks to make room. It is off by default: it
+	// lost more work than it won time in every measured day.
+	Preemption bool
 	// Spot allows renting spot machines.
 	Spot bool
 }
@@ -39,10 +42,11 @@
 
 func (p *Policy) knobs() map[string]knob {
 	return map[string]knob{
-		"window_s":  {number: &p.WindowS, min: 1, max: 30 * 24 * 3600},
-		"timeout_s": {number: &p.TimeoutS, min: 0, max: 30 * 24 * 3600},
-		"spare":     {number: &p.Spare, min: 0, max: 1},
-		"spot":      {flag: &p.Spot},
+		"window_s":   {number: &p.WindowS, min: 1, max: 30 * 24 * 3600},
+		"timeout_s":  {number: &p.TimeoutS, min: 0, max: 30 * 24 * 3600},
+		"spare":      {number: &p.Spare, min: 0, max: 1},
+		"preemption": {flag: &p.Preemption},
+		"spot":       {flag: &p.Spot},
 	}
 }
 
