--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -415,7 +415,7 @@
 		t := c.types[name]
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				dear := !spot && t.SpotPrice < t.Price && c.policy.Spot && backlog < seconds(t.BootS)
+				dear := !spot && t.SpotPrice < t.Price && c.policy.Spot && backlog < 2*seconds(t.BootS)
 				if spot && !c.policy.Spot || dear || c.now.Steady < c.rental.blocked[offerKey{name, zone, spot}].until {
 					continue
 				}
