--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -382,7 +382,7 @@
 	r := o.Report
 	m := c.machines[r.Machine]
 	if m == nil {
-		m = &worker.Machine{First: c.now.Steady, IdleSince: c.now.Steady}
+		m = &worker.Machine{IdleSince: c.now.Steady}
 		c.machines[r.Machine] = m
 		c.sched.dirty = true
 	} else if !m.Newer(&r) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -220,16 +220,19 @@
 
 // txn runs a transaction and hands its outcome to done.
 func (c *Core) txn(t protocol.Txn, urgent bool, done func(StoreReply)) {
-	c.nextID++
-	c.waits[c.nextID] = done
-	c.emit(StoreTxn{ID: c.nextID, Txn: t, Urgent: urgent})
+	c.emit(StoreTxn{ID: c.await(done), Txn: t, Urgent: urgent})
 }
 
 // get reads a key and hands it to done.
 func (c *Core) get(key string, done func(StoreReply)) {
+	c.emit(StoreGet{ID: c.await(done), Key: key})
+}
+
+// await numbers a request whose reply done takes.
+func (c *Core) await(done func(StoreReply)) uint64 {
 	c.nextID++
 	c.waits[c.nextID] = done
-	c.emit(StoreGet{ID: c.nextID, Key: key})
+	return c.nextID
 }
 
 // seconds turns a figure of the settings into a duration.
--- /dev/null
+++ b/internal/core/giveback.go
@@ -0,0 +1,199 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pepperlever/internal/core/worker"
+	"pepperlever/internal/protocol"
+)
+
+// forgetGone drops the marks of machines that have long been gone, so that the
+// state does not grow. A binding that still came to one would be settled by
+// another release, which the cloud answers for names that it does not know too.
+func (c *Core) forgetGone() {
+	txn := protocol.Txn{If: []protocol.Condition{{Key: c.fleet.key, Version: c.fleet.version}}}
+	bound := c.bound()
+	for id, k := range c.marks {
+		if !k.Gone || bound[id] || c.now.Steady-k.since < keepGone*seconds(c.cfg.Params.Workers.LeaseS) {
+			continue
+		}
+		if txn.Then = append(txn.Then, protocol.Change{Delete: keyMark + id}); len(txn.Then) == c.cfg.Params.State.TxnOps {
+			break
+		}
+	}
+	if len(txn.Then) > 0 && c.every(&c.timers.forget, c.reportInterval()) {
+		c.txn(txn, false, func(StoreReply) {})
+	}
+}
+
+// keepGone is for how many leases the mark of a machine that is gone is kept.
+const keepGone = 100
+
+// bound tells which machines have bindings of any team.
+func (c *Core) bound() map[string]bool {
+	out := map[string]bool{}
+	for _, j := range c.jobs {
+		for _, b := range j.Bound {
+			out[b.Machine] = true
+		}
+	}
+	return out
+}
+
+// tendListed gives up machines that failed, never come up, or fell silent. A new
+// renter waits before it judges: workers may still be on their way to a node
+// that answers them, and after an end of all controllers every machine is new
+// to it.
+func (c *Core) tendListed() {
+	settled := c.now.Steady-c.rental.since > c.silence()
+	for id := range c.rental.came {
+		if _, listed := c.rental.listed[id]; !listed && c.marks[id].Gone {
+			delete(c.rental.came, id)
+		}
+	}
+	for id, l := range c.rental.listed {
+		age := c.now.Steady - c.rental.came[id]
+		limit := 4*seconds(c.types[l.Type].BootS) + c.silence()
+		switch {
+		case l.State == protocol.Failed:
+			c.doom(id, "failed")
+		case c.machines[id] != nil || !settled:
+		case l.State == protocol.Booting && age > limit:
+			c.doom(id, "does not come up")
+		case l.State != protocol.Booting && c.now.Steady-c.rental.since > limit && age > limit:
+			c.doom(id, "never heard")
+		}
+	}
+	if !settled {
+		return
+	}
+	for id, m := range c.machines {
+		if c.now.Steady-m.Seen > c.silence() && c.everyoneHeard() {
+			c.doom(id, "silent")
+		}
+		if m.Errors >= 3 {
+			c.doom(id, "tasks fail on it")
+		}
+	}
+}
+
+// everyoneHeard tells whether this node hears from every live controller; only
+// then is a machine's silence the machine's own.
+func (c *Core) everyoneHeard() bool {
+	for node := range c.nodes {
+		p := c.peers[node]
+		if p != nil && c.now.Steady-p.seen > c.reportInterval() {
+			return false
+		}
+	}
+	return true
+}
+
+// doom has a machine released with all that is on it.
+func (c *Core) doom(id, why string) {
+	if c.marks[id].Gone || c.rental.doomed[id] != "" {
+		return
+	}
+	c.log(Info, "machine given up", "machine", id, "why", why)
+	c.rental.doomed[id] = why
+	c.closeMachine(id, why)
+}
+
+func (c *Core) condemned(m Condemn) {
+	if c.fleet.acting {
+		c.doom(m.Machine, m.Why)
+	}
+}
+
+// tendIdle closes machines that have had nothing to do for a while.
+func (c *Core) tendIdle() {
+	bound := c.bound()
+	for id, m := range c.machines {
+		if bound[id] {
+			m.IdleSince = c.now.Steady
+		} else if c.now.Steady-m.IdleSince > c.idleTime(m) {
+			c.closeMachine(id, "idle")
+		}
+	}
+}
+
+// idleTime is how long a machine is kept without work: a part of what a new
+// one would take to come.
+func (c *Core) idleTime(m *worker.Machine) time.Duration {
+	return max(seconds(c.types[m.Type].BootS)/4, 2*c.reportInterval())
+}
+
+// closeMachine writes the mark that no binding can pass. Once the replica shows
+// it, the replica also shows every binding that came before it.
+func (c *Core) closeMachine(id, why string) {
+	if _, marked := c.marks[id]; marked {
+		return
+	}
+	if at, ok := c.rental.closing[id]; ok && c.now.Steady-at < c.silence() {
+		return
+	}
+	c.rental.closing[id] = c.now.Steady
+	c.txn(protocol.Txn{
+		If:   []protocol.Condition{{Key: c.fleet.key, Version: c.fleet.version}, {Key: keyMark + id}},
+		Then: []protocol.Change{put(keyMark+id, mark{Why: why})},
+	}, false, func(r StoreReply) {
+		if r.Outcome == Refused || r.Outcome == NoLease {
+			delete(c.rental.closing, id)
+		}
+	})
+}
+
+// tendClosing releases closed machines that nothing is bound to, and doomed
+// ones whatever is bound to them.
+func (c *Core) tendClosing() {
+	bound := c.bound()
+	var names []string
+	for _, id := range slices.Sorted(maps.Keys(c.marks)) {
+		if c.marks[id].Gone || bound[id] && c.rental.doomed[id] == "" && c.marks[id].Why == "idle" {
+			continue
+		}
+		if at, ok := c.rental.releasing[id]; ok && c.now.Steady-at < c.silence() {
+			continue
+		}
+		if len(names) < 50 {
+			c.rental.releasing[id] = c.now.Steady
+			names = append(names, id)
+		}
+	}
+	if len(names) > 0 {
+		c.emit(Release{Machines: names})
+	}
+}
+
+// released notes the cloud's word that machines are gone, which ends all that
+// was bound to them.
+func (c *Core) released(m Released) {
+	if !c.fleet.acting {
+		return
+	}
+	for batch := range slices.Chunk(m.Machines, c.cfg.Params.State.TxnOps) {
+		if !m.OK {
+			for _, id := range batch {
+				delete(c.rental.releasing, id)
+			}
+			continue
+		}
+		txn := protocol.Txn{If: []protocol.Condition{{Key: c.fleet.key, Version: c.fleet.version}}}
+		for _, id := range batch {
+			txn.Then = append(txn.Then, put(keyMark+id, mark{Gone: true}))
+		}
+		c.txn(txn, true, func(r StoreReply) {
+			for _, id := range batch {
+				if r.Outcome != Applied {
+					delete(c.rental.releasing, id)
+					continue
+				}
+				c.log(Info, "machine returned", "machine", id, "why", c.marks[id].Why)
+				c.marked(id, mark{Gone: true, version: r.Revision})
+				delete(c.rental.closing, id)
+			}
+		})
+	}
+}
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -308,11 +308,6 @@
 // Complete tells whether every task is done.
 func (j *Job) Complete() bool { return j.Done.Len() == j.Tasks }
 
-// Used sums the resources of all bindings.
-func (j *Job) Used() Resources {
-	return Resources{}.Plus(j.Need, float64(len(j.Bound)))
-}
-
 // SplitTask takes a task id apart.
 func SplitTask(id string) (jobID string, index int, ok bool) {
 	cut := strings.LastIndexByte(id, '/')
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -25,15 +25,11 @@
 
 // userTxn and userGet are txn and get for requests that a user waits for.
 func (c *Core) userTxn(t protocol.Txn, done func(StoreReply)) {
-	c.nextID++
-	c.waits[c.nextID] = done
-	c.emit(StoreTxn{ID: c.nextID, Txn: t, Quick: true})
+	c.emit(StoreTxn{ID: c.await(done), Txn: t, Quick: true})
 }
 
 func (c *Core) userGet(key string, done func(StoreReply)) {
-	c.nextID++
-	c.waits[c.nextID] = done
-	c.emit(StoreGet{ID: c.nextID, Key: key, Quick: true})
+	c.emit(StoreGet{ID: c.await(done), Key: key, Quick: true})
 }
 
 // submit accepts a job by one conditional write; only then is it accepted.
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -14,8 +14,8 @@
 	// Node is the controller that it reports to, Term the one it acts under.
 	Node string
 	Term uint64
-	// Seen is when the newest sign of life came, First when the first did.
-	Seen, First time.Duration
+	// Seen is when the newest sign of life came.
+	Seen time.Duration
 	// NoticeAt is when the cloud takes it away; zero without notice.
 	NoticeAt time.Duration
 	// IdleSince is when it last lost its last binding.
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -82,20 +82,14 @@
 	Error string `json:"error"`
 }
 
-// Task states that a worker reports.
-const (
-	Fetching = "pulling"
-	Waiting  = "waiting"
-	Saving   = "saving"
-	Exited   = "exited"
-)
+// Exited is the state of a task that has ended; Running is the other one that
+// matters here.
+const Exited = "exited"
 
-// Reasons why a task exited.
+// Reasons why a task exited. After all others it is simply started again.
 const (
 	WhyDone    = "done"
 	WhyStopped = "stopped"
-	WhyPeers   = "mates_gone"
-	WhyAlone   = "alone"
 	WhyError   = "error"
 	WhyNoRoom  = "full"
 	WhyBusy    = "busy"
