Release given-up machines while the store is down; any team name makes a valid key

A cancelled task on a hung machine was left past its time when the state service went down right after the cancellation, since the machine's mark could not be stored.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,7 +88,7 @@
 		rental: newRentState(),
 	}
 	for _, t := range cfg.Params.Teams {
-		c.addTeam(&team{Team: t, key: keyHome + t.Name, jobs: map[string]*job.Job{}})
+		c.addTeam(&team{Team: t, key: keyHome + teamPart(t.Name), jobs: map[string]*job.Job{}})
 	}
 	c.fleet = &team{key: keyFleet, jobs: map[string]*job.Job{}}
 	c.fleet.Name = fleetName
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -211,6 +212,36 @@
 	}
 }
 
+func TestCancelledTaskOnAHungMachineIsGoneInTimeThoughTheStoreIsDown(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 2, ""))
+	if !w.run(time.Minute, func() bool { return w.onMachines("req-blue-1") > 0 }) {
+		t.Fatal("job does not start")
+	}
+	for _, f := range w.workers {
+		f.dead = true
+	}
+	if s := stateOf(t, w.cancelJob("b", "req-blue-1")); s.State != protocol.Cancelled {
+		t.Fatalf("answer is %+v", s)
+	}
+	w.run(time.Second, nil)
+	w.outage = true
+	w.run(29*time.Second, nil)
+	if n := w.onMachines("req-blue-1"); n != 0 {
+		t.Errorf("%d tasks are left", n)
+	}
+}
+
+func TestTeamNamesMayHoldAnyCharacters(t *testing.T) {
+	for _, team := range []string{"red", "night shift", "a/b", "čuvari%2F~", "x+y"} {
+		key := chunkKey(team, "req-1", 7)
+		got, id, chunk, ok := splitActive(key)
+		if strings.ContainsAny(key, " %") || got != team || id != "req-1" || chunk != 7 || !ok {
+			t.Errorf("%q became %q, %q, %d, %v of %q", team, got, id, chunk, ok, key)
+		}
+	}
+}
+
 func TestCancellationBeatsBindingsThatAreOnTheirWay(t *testing.T) {
 	w := newWorld(t).ready()
 	for i := range 8 {
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -146,11 +146,17 @@
 }
 
 // tendClosing releases closed machines that nothing is bound to, and doomed
-// ones whatever is bound to them.
+// ones whatever is bound to them. Doomed ones need no mark first: what is bound
+// to them meanwhile is bound to a machine that is gone. So a cancelled task is
+// ended in time even while the state service is down.
 func (c *Core) tendClosing() {
 	bound := c.bound()
 	var names []string
-	for _, id := range slices.Sorted(maps.Keys(c.marks)) {
+	due := maps.Clone(c.marks)
+	for id := range c.rental.doomed {
+		due[id] = c.marks[id]
+	}
+	for _, id := range slices.Sorted(maps.Keys(due)) {
 		if c.marks[id].Gone || bound[id] && c.rental.doomed[id] == "" && c.marks[id].Why == "idle" {
 			continue
 		}
@@ -193,6 +199,7 @@
 				c.log(Info, "machine returned", "machine", id, "why", c.marks[id].Why)
 				c.marked(id, mark{Gone: true, version: r.Revision})
 				delete(c.rental.closing, id)
+				delete(c.rental.doomed, id)
 			}
 		})
 	}
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -87,34 +88,46 @@
 	return out
 }
 
+// teamPart is a team's name as part of a key, which has no spaces or slashes of
+// its own, and no percent signs that a server might decode on the way.
+func teamPart(team string) string {
+	return strings.ReplaceAll(strings.ReplaceAll(url.QueryEscape(team), "~", "%7E"), "%", "~")
+}
+
+func teamOf(part string) (string, error) {
+	return url.QueryUnescape(strings.ReplaceAll(part, "~", "%"))
+}
+
 func put(key string, v any) protocol.Change { return protocol.Change{Put: key, Value: raw(v)} }
 
-func activeKey(team, id string) string { return keyActive + team + "/" + id }
+func activeKey(team, id string) string { return keyActive + teamPart(team) + "/" + id }
 
 func chunkKey(team, id string, chunk int) string {
 	return activeKey(team, id) + "/" + strconv.Itoa(chunk)
 }
 
-func cancelKey(team, id string) string { return keyCancel + team + "/" + id }
+func cancelKey(team, id string) string { return keyCancel + teamPart(team) + "/" + id }
 
 // splitActive takes the key of a job or of a chunk apart; chunk 0 is the head.
 func splitActive(key string) (team, id string, chunk int, ok bool) {
 	parts := strings.Split(strings.TrimPrefix(key, keyActive), "/")
-	if len(parts) == 3 {
-		chunk, err := strconv.Atoi(parts[2])
-		return parts[0], parts[1], chunk, err == nil && chunk > 0
-	}
-	if len(parts) != 2 {
+	team, err := teamOf(parts[0])
+	if err != nil || len(parts) < 2 || len(parts) > 3 {
 		return "", "", 0, false
 	}
-	return parts[0], parts[1], 0, true
+	if len(parts) == 3 {
+		chunk, err = strconv.Atoi(parts[2])
+		ok = err == nil && chunk > 0
+		return team, parts[1], chunk, ok
+	}
+	return team, parts[1], 0, true
 }
 
 // recordTxn stores a team's record while this node is its home.
 func recordTxn(t *team) protocol.Txn {
 	return protocol.Txn{
 		If:   []protocol.Condition{{Key: t.key, Version: t.version}},
-		Then: []protocol.Change{put(keyRecord+t.Name, recordKey{t.record})},
+		Then: []protocol.Change{put(keyRecord+teamPart(t.Name), recordKey{t.record})},
 	}
 }
 
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -99,7 +99,8 @@
 		}
 	case strings.HasPrefix(key, keyRecord):
 		var r recordKey
-		t := c.teamBy[strings.TrimPrefix(key, keyRecord)]
+		name, _, _, _ := splitActive(keyActive + strings.TrimPrefix(key, keyRecord) + "/")
+		t := c.teamBy[name]
 		if err = json.Unmarshal(item.Value, &r); err == nil && t != nil && !t.acting {
 			t.record, t.ranked = r.Record, r.Record
 		}
