--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -157,14 +157,7 @@
 	default:
 		u.job.InFlight = false
 		u.job.Retouch(u.writes)
-		c.pauseStoring(r)
-	}
-}
-
-// pauseStoring pauses all storing for a moment after a refusal; the state
-// service is down or overloaded then.
-func (c *Core) pauseStoring(r StoreReply) {
-	if r.Outcome == Refused {
+		// The state service is down or overloaded: store nothing for a moment.
 		c.sched.storeAfter = c.now.Steady + c.reportInterval()/6
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,12 +98,12 @@
 	if s.Node == "" {
 		return errors.New("node is missing")
 	}
-	for name, addr := range map[string]string{
-		"bind": s.Listen, "peer_listen": s.PeerListen,
-		"external.cloud": s.Services.Cloud, "external.state": s.Services.State,
+	for _, a := range []struct{ name, addr string }{
+		{"bind", s.Listen}, {"peer_listen", s.PeerListen},
+		{"external.cloud", s.Services.Cloud}, {"external.state", s.Services.State},
 	} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return fmt.Errorf("%s is no address: %q", name, addr)
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return fmt.Errorf("%s is no address: %q", a.name, a.addr)
 		}
 	}
 	if err := s.checkPeers(); err != nil {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"strings"
 	"time"
 
@@ -47,8 +48,8 @@
 	case status == fasthttp.StatusBadRequest && strings.Contains(r.Error, "lease"):
 		out.Outcome = core.NoLease
 	case status == fasthttp.StatusBadRequest:
-		out.Outcome = core.NoLease
-		out.Failed = []string{r.Error}
+		slog.Error("state service calls a transaction malformed", "error", r.Error)
+		out.Outcome = core.Refused
 	default:
 		out.Outcome = core.Refused
 	}
