--- /dev/null
+++ b/internal/store/client_test.go
@@ -0,0 +1,106 @@
+package store
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"pepperlever/internal/core"
+	"pepperlever/internal/protocol"
+)
+
+// patience is long enough that no test waits for it.
+const patience = time.Minute
+
+// standIn answers every request with one status and body, or hangs up.
+func standIn(t *testing.T, status int, body string) *client {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if status == 0 {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			conn.Close()
+			return
+		}
+		w.WriteHeader(status)
+		if _, err := w.Write([]byte(body)); err != nil {
+			t.Error(err)
+		}
+	}))
+	t.Cleanup(s.Close)
+	return newClient(s.Listener.Addr().String(), patience)
+}
+
+func TestNoAnswerToATransactionMeansPerhapsDone(t *testing.T) {
+	txn := protocol.Txn{Then: []protocol.Change{{Delete: "k"}}}
+	for name, c := range map[string]struct {
+		status int
+		body   string
+		want   core.Outcome
+	}{
+		"applied":      {200, `{"ledgerTick":7}`, core.Applied},
+		"conflict":     {409, `{"failed":["k"],"ledgerTick":6}`, core.Conflict},
+		"lease ended":  {400, `{"error":"no such lease"}`, core.NoLease},
+		"malformed":    {400, `{"error":"bad key"}`, core.Refused},
+		"too many":     {429, ``, core.Refused},
+		"down":         {503, ``, core.Refused},
+		"hangs up":     {0, ``, core.Unknown},
+		"broken reply": {200, `{"ledgerTick":`, core.Unknown},
+	} {
+		if got := standIn(t, c.status, c.body).txn(txn); got.Outcome != c.want {
+			t.Errorf("%s: got %d, want %d", name, got.Outcome, c.want)
+		}
+	}
+}
+
+func TestRefusedConnectionMeansNotDone(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	if got := newClient(addr, patience).txn(protocol.Txn{}); got.Outcome != core.Refused {
+		t.Errorf("got %d", got.Outcome)
+	}
+}
+
+func TestOnlyTheStoreItselfSaysThatAKeyIsMissing(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		body   string
+		want   core.Outcome
+	}{
+		"there":        {200, `{"k":"a","value":{},"lastTick":3}`, core.Applied},
+		"missing":      {404, `{"ledgerTick":9}`, core.Missing},
+		"down":         {503, ``, core.Refused},
+		"hangs up":     {0, ``, core.Refused},
+		"broken reply": {200, `{"k":`, core.Refused},
+	} {
+		if got := standIn(t, c.status, c.body).get("a"); got.Outcome != c.want {
+			t.Errorf("%s: got %d, want %d", name, got.Outcome, c.want)
+		}
+	}
+}
+
+func TestLimiterAllowsOneSecondsWorthAndThenTheRate(t *testing.T) {
+	b := bucket{rate: 10}
+	start := time.Unix(1000, 0)
+	b.fill(start)
+	if b.level != 10 || b.delay(10) != 0 {
+		t.Errorf("starts with %v", b.level)
+	}
+	b.level = 0
+	if got := b.delay(5); got != 500*time.Millisecond {
+		t.Errorf("five more take %v", got)
+	}
+	b.fill(start.Add(300 * time.Millisecond))
+	if b.level < 2.99 || b.level > 3.01 {
+		t.Errorf("after 0.3 s the level is %v", b.level)
+	}
+}
