--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -19,19 +19,19 @@
 
 // API turns requests into commands and the core's answers into responses.
 type API struct {
-	cfg  *settings.Settings
-	emit func(core.Command)
-	// Metrics writes the operator's figures.
-	Metrics func() []byte
+	cfg *settings.Settings
+	// offer hands a command to the core unless its queue is full.
+	offer   func(core.Command) bool
+	metrics metrics
 
 	mu    sync.Mutex
 	next  uint64
 	waits map[uint64]chan core.Answer
 }
 
-// New makes an API that passes commands to emit.
-func New(cfg *settings.Settings, emit func(core.Command)) *API {
-	return &API{cfg: cfg, emit: emit, waits: map[uint64]chan core.Answer{}}
+// New makes an API that passes commands to offer.
+func New(cfg *settings.Settings, offer func(core.Command) bool) *API {
+	return &API{cfg: cfg, offer: offer, metrics: newMetrics(), waits: map[uint64]chan core.Answer{}}
 }
 
 // Run serves until ctx ends.
@@ -88,7 +88,7 @@
 	case path == protocol.PathMetrics:
 		a.only(ctx, method, fasthttp.MethodGet, func(ctx *fasthttp.RequestCtx) {
 			ctx.SetContentType("text/plain; charset=utf-8")
-			ctx.SetBody(a.Metrics())
+			ctx.SetBody(a.metrics.text())
 		})
 	case path == protocol.PathJobs:
 		a.only(ctx, method, fasthttp.MethodPost, func(ctx *fasthttp.RequestCtx) {
@@ -136,36 +136,54 @@
 	a.ask(ctx, func(req uint64) core.Command { return core.Beat{Req: req, Report: r} })
 }
 
-// ask hands a command to the core and waits for its answer.
-func (a *API) ask(ctx *fasthttp.RequestCtx, make1 func(uint64) core.Command) {
-	ch := make(chan core.Answer, 1)
-	a.mu.Lock()
-	a.next++
-	id := a.next
-	a.waits[id] = ch
-	a.mu.Unlock()
-	a.emit(make1(id))
+// ask hands a command to the core and waits for its answer. A core that falls
+// behind sheds new requests at once.
+func (a *API) ask(ctx *fasthttp.RequestCtx, command func(req uint64) core.Command) {
+	start := time.Now()
+	id, ch := a.expect()
+	if !a.offer(command(id)) {
+		a.Answer(later(id))
+	}
 	timer := time.NewTimer(a.patience())
 	defer timer.Stop()
+	var ans core.Answer
 	select {
-	case ans := <-ch:
-		reply(ctx, ans)
+	case ans = <-ch:
 	case <-timer.C:
-		a.mu.Lock()
-		delete(a.waits, id)
-		a.mu.Unlock()
-		reply(ctx, core.Answer{Status: fasthttp.StatusServiceUnavailable, RetryAfter: 1,
-			Body: protocol.Problem{Error: "try again later"}})
+		a.forget(id)
+		ans = later(id)
 	}
+	a.metrics.note(string(ctx.Path()), ans.Status, time.Since(start))
+	reply(ctx, ans)
+}
+
+// later asks the client to come back.
+func later(req uint64) core.Answer {
+	return core.Answer{Req: req, Status: fasthttp.StatusServiceUnavailable, RetryAfter: 1,
+		Body: protocol.Problem{Error: "try again later"}}
+}
+
+func (a *API) expect() (uint64, chan core.Answer) {
+	ch := make(chan core.Answer, 1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.next++
+	a.waits[a.next] = ch
+	return a.next, ch
+}
+
+// forget takes the channel that waits for a request's answer.
+func (a *API) forget(id uint64) chan core.Answer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ch := a.waits[id]
+	delete(a.waits, id)
+	return ch
 }
 
 // Answer ends a request.
 func (a *API) Answer(ans core.Answer) {
-	a.mu.Lock()
-	ch := a.waits[ans.Req]
-	delete(a.waits, ans.Req)
-	a.mu.Unlock()
-	if ch != nil {
+	if ch := a.forget(ans.Req); ch != nil {
 		ch <- ans
 	}
 }
--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,99 @@
+package api
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"pepperlever/internal/core"
+	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
+)
+
+// serve runs one request against an API whose core answers with script.
+func serve(script func(core.Command) *core.Answer, method, path, body string) (*API, *fasthttp.RequestCtx) {
+	cfg := &settings.Settings{}
+	cfg.Params.Workers.ReportS = 600 // no test waits for the time-out
+	var a *API
+	a = New(cfg, func(c core.Command) bool {
+		ans := script(c)
+		if ans != nil {
+			a.Answer(*ans)
+		}
+		return ans != nil
+	})
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Request.Header.SetMethod(method)
+	ctx.Request.SetRequestURI(path)
+	ctx.Request.SetBodyString(body)
+	a.handle(ctx)
+	return a, ctx
+}
+
+// echo answers every command with 200, naming the request it was meant for.
+func echo(c core.Command) *core.Answer {
+	switch c := c.(type) {
+	case core.Submit:
+		return &core.Answer{Req: c.Req, Status: 201}
+	case core.Status:
+		return &core.Answer{Req: c.Req, Status: 200, Body: "status " + c.ID}
+	case core.Cancel:
+		return &core.Answer{Req: c.Req, Status: 200, Body: "cancel " + c.ID}
+	case core.Health:
+		return &core.Answer{Req: c.Req, Status: 200}
+	case core.Beat:
+		return &core.Answer{Req: c.Req, Status: 200, Body: c.Report.Machine}
+	}
+	return nil
+}
+
+func TestRequestsReachTheCoreOrAreRefused(t *testing.T) {
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		want               string
+	}{
+		{"POST", "/work", "{}", 201, ""},
+		{"GET", "/work", "", 405, ""},
+		{"GET", "/work/req-1", "", 200, "status req-1"},
+		{"DELETE", "/work/req-1", "", 405, ""},
+		{"POST", "/work/req-1/withdraw", "", 200, "cancel req-1"},
+		{"GET", "/work/req-1/withdraw", "", 405, ""},
+		{"POST", "/work/req-1/other", "", 404, ""},
+		{"GET", "/elsewhere", "", 404, ""},
+		{"GET", "/up", "", 200, ""},
+		{"POST", "/agent/beat", `{"hand":"vm-1","address":"1.2.3.4:5"}`, 200, "vm-1"},
+		{"POST", "/agent/beat", `{"hand":"vm-1"`, 400, ""},
+		{"POST", "/agent/beat", `{"hand":"vm/1","address":"x"}`, 400, ""},
+	} {
+		_, ctx := serve(echo, c.method, c.path, c.body)
+		if got := ctx.Response.StatusCode(); got != c.status || !strings.Contains(string(ctx.Response.Body()), c.want) {
+			t.Errorf("%s %s: got %d %s", c.method, c.path, got, ctx.Response.Body())
+		}
+	}
+}
+
+func TestFullQueueShedsAtOnceAndSaysWhenToComeBack(t *testing.T) {
+	a, ctx := serve(func(core.Command) *core.Answer { return nil }, "GET", "/work/req-1", "")
+	if got := ctx.Response.StatusCode(); got != 503 || string(ctx.Response.Header.Peek("Retry-After")) == "" {
+		t.Errorf("got %d", got)
+	}
+	if len(a.waits) != 0 {
+		t.Error("the request is still waited for")
+	}
+	if text := string(a.metrics.text()); !strings.Contains(text, `answers{request="status",status="503"} 1`) {
+		t.Errorf("metrics say %s", text)
+	}
+}
+
+func TestPathsOfJobsCountAsOneKind(t *testing.T) {
+	for path, want := range map[string]string{
+		protocol.PathJobs: "submit", protocol.PathJobs + "/req-1": "status",
+		protocol.PathJobs + "/req-1/" + protocol.PathCancel: "cancel", protocol.PathReport: "report",
+	} {
+		if got := kind(path); got != want {
+			t.Errorf("%s is %s", path, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/api/metrics.go
@@ -0,0 +1,77 @@
+package api
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"pepperlever/internal/protocol"
+)
+
+// metrics counts answers and keeps their latencies by kind of request.
+type metrics struct {
+	mu      *sync.Mutex
+	answers map[string]int
+	latency map[string]*hdrhistogram.Histogram
+}
+
+// Range and precision of the latencies, in microseconds.
+const (
+	shortest = 1
+	longest  = 60_000_000
+	digits   = 2
+)
+
+func newMetrics() metrics {
+	return metrics{mu: &sync.Mutex{}, answers: map[string]int{}, latency: map[string]*hdrhistogram.Histogram{}}
+}
+
+// kind groups paths, so that the figures do not grow with the jobs.
+func kind(path string) string {
+	switch {
+	case path == protocol.PathReport:
+		return "report"
+	case path == protocol.PathHealth:
+		return "health"
+	case path == protocol.PathJobs:
+		return "submit"
+	case strings.HasSuffix(path, "/"+protocol.PathCancel):
+		return "cancel"
+	}
+	return "status"
+}
+
+func (m metrics) note(path string, status int, took time.Duration) {
+	k := kind(path)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.answers[fmt.Sprintf("answers{request=%q,status=\"%d\"}", k, status)]++
+	h := m.latency[k]
+	if h == nil {
+		h = hdrhistogram.New(shortest, longest, digits)
+		m.latency[k] = h
+	}
+	// Only values out of range fail, and the range is kept here.
+	_ = h.RecordValue(min(max(took.Microseconds(), shortest), longest))
+}
+
+// text writes the figures one a line.
+func (m metrics) text() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var b strings.Builder
+	for _, k := range slices.Sorted(maps.Keys(m.answers)) {
+		fmt.Fprintf(&b, "pepperlever_%s %d\n", k, m.answers[k])
+	}
+	for _, k := range slices.Sorted(maps.Keys(m.latency)) {
+		for _, q := range []float64{50, 90, 99} {
+			fmt.Fprintf(&b, "pepperlever_latency_us{request=%q,quantile=\"%v\"} %d\n", k, q/100, m.latency[k].ValueAtQuantile(q))
+		}
+	}
+	return []byte(b.String())
+}
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -56,7 +56,7 @@
 	select {
 	case c.queue <- f:
 	default:
-		full()
+		go full() // the core itself is the caller, and must not wait for its own queue
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,7 +56,7 @@
 
 // timers hold the next time of each periodic duty.
 type timers struct {
-	last, beat, share, spread, record, homes, settle, fleet, catalog, list time.Duration
+	last, beat, share, spread, record, homes, settle, fleet, forget, catalog, list time.Duration
 }
 
 // team is the state of one team, whoever is its home.
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/segmentio/encoding/json"
 
@@ -47,6 +48,7 @@
 	Gone    bool   `json:"g,omitempty"`
 	Why     string `json:"w,omitempty"`
 	version uint64
+	since   time.Duration
 }
 
 // stateKey is the value that users' answers are read from.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -85,13 +85,10 @@
 	return out
 }
 
-// spareShare is the part of the whole room that stays open for work to come
-// when hosts are drained.
-const spareShare = 0.1
-
 // Drain makes the dearest and emptiest hosts the last choice for as long as the
-// others have room to spare, so that they empty and can be returned.
-func Drain(hosts []*Host) {
+// others have room to spare, so that they empty and can be returned. spareShare
+// of the whole room stays open for work to come.
+func Drain(hosts []*Host, spareShare float64) {
 	order := slices.Clone(hosts)
 	slices.SortStableFunc(order, func(a, b *Host) int {
 		return cmp.Or(cmp.Compare(b.Dear, a.Dear), cmp.Compare(a.Size.CPUs-a.Room.CPUs, b.Size.CPUs-b.Room.CPUs))
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -82,9 +82,32 @@
 	c.tendListed()
 	c.tendIdle()
 	c.tendClosing()
+	c.forgetGone()
 	c.rentMore()
 }
 
+// forgetGone drops the marks of machines that have long been gone, so that the
+// state does not grow. A binding that still came to one would be settled by
+// another release, which the cloud answers for names that it does not know too.
+func (c *Core) forgetGone() {
+	txn := protocol.Txn{If: []protocol.Condition{{Key: c.fleet.key, Version: c.fleet.version}}}
+	bound := c.bound()
+	for id, k := range c.marks {
+		if !k.Gone || bound[id] || c.now.Steady-k.since < keepGone*seconds(c.cfg.Params.Workers.LeaseS) {
+			continue
+		}
+		if txn.Then = append(txn.Then, protocol.Change{Delete: keyMark + id}); len(txn.Then) == c.cfg.Params.State.TxnOps {
+			break
+		}
+	}
+	if len(txn.Then) > 0 && c.every(&c.timers.forget, c.reportInterval()) {
+		c.txn(txn, false, func(StoreReply) {})
+	}
+}
+
+// keepGone is for how many leases the mark of a machine that is gone is kept.
+const keepGone = 100
+
 // tendIntents repeats rentals without an answer under the same name, and drops
 // those whose machines have all shown up.
 func (c *Core) tendIntents() {
@@ -154,6 +177,11 @@
 // to it.
 func (c *Core) tendListed() {
 	settled := c.now.Steady-c.rental.since > c.silence()
+	for id := range c.rental.came {
+		if _, listed := c.rental.listed[id]; !listed && c.marks[id].Gone {
+			delete(c.rental.came, id)
+		}
+	}
 	for id, l := range c.rental.listed {
 		age := c.now.Steady - c.rental.came[id]
 		limit := 4*seconds(c.types[l.Type].BootS) + c.silence()
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -196,7 +196,7 @@
 		return
 	}
 	hosts := c.hosts()
-	placement.Drain(hosts)
+	placement.Drain(hosts, c.policy.Spare)
 	c.place(turns, ranked, hosts)
 }
 
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -200,6 +200,7 @@
 	if old, ok := c.marks[machine]; ok && old.version >= k.version {
 		return
 	}
+	k.since = c.now.Steady
 	c.marks[machine] = k
 	c.sched.dirty = true
 	if !k.Gone {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,8 +50,7 @@
 	d.tick = time.Duration(cfg.Params.Workers.ReportS * float64(time.Second) / 30)
 	d.core = core.New(cfg, policy, strconv.FormatUint(rand.Uint64(), 36))
 	emit := func(c core.Command) { d.queue <- c }
-	d.api = api.New(cfg, emit)
-	d.api.Metrics = func() []byte { return nil }
+	d.api = api.New(cfg, d.offer)
 	d.store = store.New(cfg, core.Root, emit)
 	d.cloud = cloud.New(cfg, emit)
 	d.agent = agent.New(cfg, emit)
@@ -66,6 +65,16 @@
 	return g.Wait()
 }
 
+// offer queues a command unless the queue is full.
+func (d *Daemon) offer(c core.Command) bool {
+	select {
+	case d.queue <- c:
+		return true
+	default:
+		return false
+	}
+}
+
 // limitMemory keeps the process clear of the limit at which it would be killed.
 // The process stays on one core, so more threads would only take turns.
 func limitMemory(cfg *settings.Settings) {
--- a/internal/settings/policy.go
+++ b/internal/settings/policy.go
@@ -15,18 +15,16 @@
 	WindowS float64
 	// TimeoutS is how long a team waits before it jumps ahead.
 	TimeoutS float64
-	// Headroom is the part of the fleet's capacity that is kept free for work
-	// above the normal priority.
-	Headroom float64
-	// Preemption allows stopping tasks to make room.
-	Preemption bool
+	// Spare is the part of the fleet's room that stays open for work to come
+	// while dear and empty machines are drained.
+	Spare float64
 	// Spot allows renting spot machines.
 	Spot bool
 }
 
 // DefaultPolicy has the starting values of the design.
 func DefaultPolicy() Policy {
-	return Policy{WindowS: 600, TimeoutS: 30, Headroom: 0.05, Preemption: true, Spot: true}
+	return Policy{WindowS: 600, TimeoutS: 30, Spare: 0.1, Spot: true}
 }
 
 // maxSteps bounds what a script may do; it runs once, at the start.
@@ -41,11 +39,10 @@
 
 func (p *Policy) knobs() map[string]knob {
 	return map[string]knob{
-		"window_s":   {number: &p.WindowS, min: 1, max: 30 * 24 * 3600},
-		"timeout_s":  {number: &p.TimeoutS, min: 0, max: 30 * 24 * 3600},
-		"headroom":   {number: &p.Headroom, min: 0, max: 1},
-		"preemption": {flag: &p.Preemption},
-		"spot":       {flag: &p.Spot},
+		"window_s":  {number: &p.WindowS, min: 1, max: 30 * 24 * 3600},
+		"timeout_s": {number: &p.TimeoutS, min: 0, max: 30 * 24 * 3600},
+		"spare":     {number: &p.Spare, min: 0, max: 1},
+		"spot":      {flag: &p.Spot},
 	}
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -125,7 +125,8 @@
 	select {
 	case lane <- job:
 	default:
-		s.emit(core.StoreReply{ID: id, Outcome: core.Refused})
+		// The core itself is the caller, and must not wait for its own queue.
+		go s.emit(core.StoreReply{ID: id, Outcome: core.Refused})
 	}
 }
 
