--- a/internal/core/budget_test.go
+++ b/internal/core/budget_test.go
@@ -16,7 +16,7 @@
 	var out []string
 	for _, e := range c.effects {
 		if txn, ok := e.(StoreTxn); ok {
-			_, id, _, _ := splitActive(txn.Txn.If[1].Key)
+			id, _, _ := splitActive(txn.Txn.If[1].Key)
 			out = append(out, id)
 		}
 	}
@@ -56,7 +56,7 @@
 	}
 }
 
-// A report of hundreds of tasks that nobody knows asks the store once a job,
+// A report of hundreds of tasks that nobody knows asks once a job,
 // and stops nothing before the store has answered.
 func TestReportOfHundredsOfUnknownTasksIsBounded(t *testing.T) {
 	c := busyCore(10)
@@ -67,13 +67,7 @@
 	}
 	c.effects = nil
 	c.handle(Beat{Req: 1, Report: r})
-	gets := 0
-	for _, e := range c.effects {
-		if _, ok := e.(StoreGet); ok {
-			gets++
-		}
-	}
-	if w := c.own[r.Machine]; gets != 3 || len(w.orders) > 0 {
-		t.Errorf("%d reads for three jobs, %d orders", gets, len(w.orders))
+	if w := c.own[r.Machine]; len(c.asks.strange) != 3 || len(w.orders) > 0 {
+		t.Errorf("%d questions for three jobs, %d orders", len(c.asks.strange), len(w.orders))
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,8 @@
 	marks   map[string]mark
 	intents map[string]*intent
 	finals  map[string]protocol.JobState
+	// goneAt holds the revisions that ended jobs.
+	goneAt map[string]uint64
 
 	// Machines.
 	types    map[string]protocol.MachineType
@@ -60,6 +62,7 @@
 	claims []Claim
 	spread spread
 	budget budget
+	asks   asks
 
 	peers   map[string]*peerState
 	storeOK bool
@@ -100,7 +103,7 @@
 		waits: map[uint64]func(StoreReply){}, nodes: map[string]nodeKey{},
 		teamBy: map[string]*team{}, jobs: map[string]*job.Job{},
 		orphans: map[string]map[int]protocol.KeyValue{}, marks: map[string]mark{},
-		intents: map[string]*intent{}, finals: map[string]protocol.JobState{},
+		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, goneAt: map[string]uint64{},
 		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{},
 		peers: map[string]*peerState{}, storeOK: true,
 		sched: newSchedState(), rental: newRentState(),
@@ -132,6 +135,7 @@
 	}
 	c.periodic()
 	c.schedule()
+	c.askStore()
 	c.shareClaims()
 	c.flushAll()
 	return c.effects
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -222,10 +222,9 @@
 
 func TestTeamNamesMayHoldAnyCharacters(t *testing.T) {
 	for _, team := range []string{"red", "night shift", "a/b", "čuvari%2F~", "x+y"} {
-		key := chunkKey(team, "req-1", 7)
-		got, id, chunk, ok := splitActive(key)
-		if strings.ContainsAny(key, " %") || got != team || id != "req-1" || chunk != 7 || !ok {
-			t.Errorf("%q became %q, %q, %d, %v of %q", team, got, id, chunk, ok, key)
+		part := teamPart(team)
+		if got, err := teamOf(part); strings.ContainsAny(part, " %/") || got != team || err != nil {
+			t.Errorf("%q became %q of %q, %v", team, got, part, err)
 		}
 	}
 }
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -70,10 +70,13 @@
 	PreemptedAt time.Duration
 	// Ended lists the attempts that have exited since the job was last stored;
 	// their workers forget them once the store holds what became of them.
-	Ended  []Exit
-	low    int
-	stored map[int]bool
-	ledger *Ledger
+	Ended []Exit
+	// Running is how many tasks ran when they were counted, at CountedAt.
+	Running   int
+	CountedAt time.Duration
+	low       int
+	stored    map[int]bool
+	ledger    *Ledger
 }
 
 // Exit is an attempt of task Index that has ended on a machine.
@@ -214,9 +217,9 @@
 	if r.Spec == nil || r.First == nil || r.Spec.Tasks < 1 || r.Spec.Tasks > MaxTasks {
 		return fmt.Errorf("job %s: stored head is incomplete", j.ID)
 	}
-	id, team := j.ID, j.Team
+	id := j.ID
 	j.Spec = *r.Spec
-	j.ID, j.Team = id, team
+	j.ID = id
 	j.Nonce, j.Attempt = r.Nonce, r.Attempt
 	var finished Set
 	if err := finished.Parse(r.Finished, 0, j.chunks()); err != nil {
--- a/internal/core/job/spec.go
+++ b/internal/core/job/spec.go
@@ -50,7 +50,7 @@
 // Spec is the immutable description of a job.
 type Spec struct {
 	ID       string    `json:"-"`
-	Team     string    `json:"-"`
+	Team     string    `json:"tm"`
 	Class    string    `json:"k"`
 	Kind     Kind      `json:"t,omitempty"`
 	Priority int       `json:"p"`
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -30,11 +30,11 @@
 	c.nextID++
 	u := &update{team: t, job: j, nonce: fmt.Sprintf("%s.%d", c.inc, c.nextID)}
 	j.Nonce = u.nonce
-	u.txn.If = []protocol.Condition{t.held(), {Key: activeKey(t.Name, j.ID), Version: j.Version}}
+	u.txn.If = []protocol.Condition{t.held(), {Key: activeKey(j.ID), Version: j.Version}}
 	more := false
 	u.writes, more = j.TakeDirty(c.chunksPerTxn())
 	for _, w := range u.writes {
-		key := chunkKey(t.Name, j.ID, w.Chunk)
+		key := chunkKey(j.ID, w.Chunk)
 		if w.Value == nil {
 			u.txn.Then = append(u.txn.Then, protocol.Change{Delete: key})
 		} else {
@@ -65,16 +65,16 @@
 
 // closeUpdate adds the head, or its removal, and the conditions of bindings.
 func (c *Core) closeUpdate(u *update, more bool) {
-	t, j := u.team, u.job
-	head := activeKey(t.Name, j.ID)
+	j := u.job
+	head := activeKey(j.ID)
 	switch u.final {
 	case protocol.Done:
-		u.txn.If = append(u.txn.If, protocol.Condition{Key: cancelKey(t.Name, j.ID)})
+		u.txn.If = append(u.txn.If, protocol.Condition{Key: cancelKey(j.ID)})
 		u.txn.Then = append(u.txn.Then, protocol.Change{Delete: head},
 			put(keyState+j.ID, stateKey{State: protocol.Done, Tasks: j.Tasks}))
 	case protocol.Cancelled:
 		u.txn.Then = append(u.txn.Then, protocol.Change{Delete: head},
-			protocol.Change{Delete: cancelKey(t.Name, j.ID)})
+			protocol.Change{Delete: cancelKey(j.ID)})
 	default:
 		u.txn.Then = append(u.txn.Then, protocol.Change{Put: head, Value: j.Head()})
 		u.bound = c.newBindings(j, u, more)
@@ -98,7 +98,7 @@
 		}
 	}
 	if len(out) > 0 {
-		u.txn.If = append(u.txn.If, protocol.Condition{Key: cancelKey(u.team.Name, j.ID)})
+		u.txn.If = append(u.txn.If, protocol.Condition{Key: cancelKey(j.ID)})
 	}
 	return out
 }
@@ -146,6 +146,7 @@
 			s.Done = j.Tasks
 		}
 		c.remember(j.ID, s)
+		c.gone(j.ID, revision)
 		c.log(Debug, "job ended", "job", j.ID, "state", u.final)
 		c.reap(j, u.ended)
 		c.forgetJob(j)
@@ -162,13 +163,13 @@
 // this very update, applied by an earlier send, or another home's.
 func (c *Core) updateConflict(u *update, failed []string) {
 	j := u.job
-	head := activeKey(u.team.Name, j.ID)
+	head := activeKey(j.ID)
 	if slices.Contains(failed, head) || slices.Contains(failed, u.team.key) {
 		c.get(head, func(r StoreReply) { c.headRead(u, r) })
 		return
 	}
 	u.undo()
-	if slices.Contains(failed, cancelKey(u.team.Name, j.ID)) {
+	if slices.Contains(failed, cancelKey(j.ID)) {
 		c.markCancelled(j)
 	}
 	for i, b := range j.Bound {
@@ -199,7 +200,7 @@
 			return
 		}
 	default:
-		c.get(activeKey(u.team.Name, u.job.ID), func(r StoreReply) { c.headRead(u, r) })
+		c.get(activeKey(u.job.ID), func(r StoreReply) { c.headRead(u, r) })
 		return
 	}
 	c.log(Info, "deposed as home", "team", u.team.Name, "job", u.job.ID)
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -16,15 +16,15 @@
 // through one watch; the states that users see are kept forever beside it.
 const (
 	Root       = "j/"
-	keyActive  = Root + "a/" // j/a/<team>/<job>[/<chunk>]: a job that is not final
-	keyCancel  = Root + "c/" // j/c/<team>/<job>: its user has cancelled it
+	keyActive  = Root + "a/" // j/a/<job>[/<chunk>]: a job that is not final
+	keyCancel  = Root + "c/" // j/c/<job>: its user has cancelled it
 	keyHome    = Root + "h/" // j/h/<team>: the team's home, attached to a lease
 	keyNode    = Root + "n/" // j/n/<node>: a live controller, attached to a lease
 	keyTerm    = Root + "t"  // the counter of fencing tokens
 	keyMark    = Root + "x/" // j/x/<machine>: closing or gone
 	keyIntent  = Root + "v/" // j/v/<request>: a rental
 	keyRecord  = Root + "r/" // j/r/<team>: remembered use
-	keyState   = "u/"        // u/<job>: the state its user is told
+	keyState   = "u/"        // u/<job>: the final state of a job, for good
 	keyFleet   = Root + "f"  // the home of the renting of machines
 	fleetName  = "fleet"
 	finalsKept = 8192
@@ -51,9 +51,10 @@
 	since   time.Duration
 }
 
-// stateKey is the value that users' answers are read from.
+// stateKey is the final state of a job. While there is none, an accepted job
+// has its active key, so every job is one key at any time but the moment of its
+// cancellation.
 type stateKey struct {
-	Team  string `json:"t,omitempty"`
 	State string `json:"s"`
 	Tasks int    `json:"n"`
 }
@@ -93,33 +94,27 @@
 	return strings.ReplaceAll(strings.ReplaceAll(url.QueryEscape(team), "~", "%7E"), "%", "~")
 }
 
+// teamOf is the team that a part of a key names.
 func teamOf(part string) (string, error) {
 	return url.QueryUnescape(strings.ReplaceAll(part, "~", "%"))
 }
 
 func put(key string, v any) protocol.Change { return protocol.Change{Put: key, Value: raw(v)} }
 
-func activeKey(team, id string) string { return keyActive + teamPart(team) + "/" + id }
+func activeKey(id string) string { return keyActive + id }
 
-func chunkKey(team, id string, chunk int) string {
-	return activeKey(team, id) + "/" + strconv.Itoa(chunk)
-}
+func chunkKey(id string, chunk int) string { return activeKey(id) + "/" + strconv.Itoa(chunk) }
 
-func cancelKey(team, id string) string { return keyCancel + teamPart(team) + "/" + id }
+func cancelKey(id string) string { return keyCancel + id }
 
 // splitActive takes the key of a job or of a chunk apart; chunk 0 is the head.
-func splitActive(key string) (team, id string, chunk int, ok bool) {
-	parts := strings.Split(strings.TrimPrefix(key, keyActive), "/")
-	team, err := teamOf(parts[0])
-	if err != nil || len(parts) < 2 || len(parts) > 3 {
-		return "", "", 0, false
-	}
-	if len(parts) == 3 {
-		chunk, err = strconv.Atoi(parts[2])
-		ok = err == nil && chunk > 0
-		return team, parts[1], chunk, ok
+func splitActive(key string) (id string, chunk int, ok bool) {
+	id, part, further := strings.Cut(strings.TrimPrefix(key, keyActive), "/")
+	if !further {
+		return id, 0, true
 	}
-	return team, parts[1], 0, true
+	chunk, err := strconv.Atoi(part)
+	return id, chunk, err == nil && chunk > 0
 }
 
 // recordTxn stores a team's record while this node is its home.
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -63,8 +63,11 @@
 type (
 	// StoreReply answers StoreTxn and StoreGet.
 	StoreReply struct {
-		ID       uint64
-		Outcome  Outcome
+		ID      uint64
+		Outcome Outcome
+		// Down tells of a refusal that is not for want of room: trying again at
+		// once is no use.
+		Down     bool
 		Revision uint64
 		Failed   []string
 		Item     protocol.KeyValue
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -43,7 +43,7 @@
 	}
 	for id, j := range c.jobs {
 		if !j.InFlight {
-			out[activeKey(j.Team, id)] = true
+			out[activeKey(id)] = true
 		}
 	}
 	for machine := range c.marks {
@@ -62,6 +62,7 @@
 func (c *Core) watched(m Watched) {
 	for _, e := range m.Events {
 		if e.Delete != "" {
+			c.headDropped(e.Delete, e.Version)
 			c.dropped(e.Delete, e.Version)
 		} else {
 			c.written(protocol.KeyValue{Key: e.Put, Value: e.Value, Version: e.Version})
@@ -77,9 +78,9 @@
 	case strings.HasPrefix(key, keyActive):
 		err = c.jobWritten(item)
 	case strings.HasPrefix(key, keyCancel):
-		if _, id, _, ok := splitActive(keyActive + strings.TrimPrefix(key, keyCancel)); ok {
-			c.markCancelled(c.jobs[id])
-		}
+		id := strings.TrimPrefix(key, keyCancel)
+		c.remember(id, protocol.JobState{ID: id, State: protocol.Cancelled})
+		c.markCancelled(c.jobs[id])
 	case key == keyFleet, strings.HasPrefix(key, keyHome):
 		err = c.homeWritten(item)
 	case strings.HasPrefix(key, keyNode):
@@ -99,9 +100,11 @@
 		}
 	case strings.HasPrefix(key, keyRecord):
 		var r recordKey
-		name, _, _, _ := splitActive(keyActive + strings.TrimPrefix(key, keyRecord) + "/")
-		t := c.teamBy[name]
-		if err = json.Unmarshal(item.Value, &r); err == nil && t != nil && !t.acting {
+		var name string
+		if name, err = teamOf(strings.TrimPrefix(key, keyRecord)); err == nil {
+			err = json.Unmarshal(item.Value, &r)
+		}
+		if t := c.teamBy[name]; err == nil && t != nil && !t.acting {
 			t.record, t.ranked = r.Record, r.Record
 		}
 	}
@@ -114,7 +117,7 @@
 func (c *Core) dropped(key string, revision uint64) {
 	switch {
 	case strings.HasPrefix(key, keyActive):
-		_, id, chunk, ok := splitActive(key)
+		id, chunk, ok := splitActive(key)
 		if j := c.jobs[id]; ok && chunk == 0 && j != nil && j.Version < revision && !c.mine(j) {
 			c.forgetJob(j)
 		}
@@ -147,27 +150,30 @@
 // jobWritten takes over what another controller, or an earlier home, stored of
 // a job.
 func (c *Core) jobWritten(item protocol.KeyValue) error {
-	teamName, id, chunk, ok := splitActive(item.Key)
-	t := c.teamBy[teamName]
-	if !ok || t == nil {
+	id, chunk, ok := splitActive(item.Key)
+	if !ok {
 		return nil
 	}
 	j := c.jobs[id]
 	if chunk > 0 {
 		return c.chunkWritten(j, id, chunk, item)
 	}
-	if j != nil && (t.acting || j.Version >= item.Version) {
+	if j != nil && (c.mine(j) || j.Version >= item.Version) {
 		return nil
 	}
-	if _, final := c.finals[id]; final && t.acting && j == nil {
-		return nil // an old event about a job that this node has ended since
+	if c.goneAt[id] > item.Version {
+		return nil // an old event, or an acceptance told late, of a job that has ended since
 	}
 	if j == nil {
-		j = job.New(job.Spec{ID: id, Team: teamName}, c.chunkSize(), c.now.Steady)
+		j = job.New(job.Spec{ID: id}, c.chunkSize(), c.now.Steady)
 	}
 	if err := j.LoadHead(item.Value); err != nil {
 		return err
 	}
+	t := c.teamBy[j.Team]
+	if t == nil {
+		return nil
+	}
 	j.Version = item.Version
 	if c.jobs[id] == nil {
 		c.addJob(t, j)
@@ -214,6 +220,31 @@
 	c.sched.dirty = true
 }
 
+// headDropped notes the end of a job that the watch tells of: its head goes when
+// it is done, or when nothing is left of a cancelled one. Events come in order,
+// so a cancellation is known by then.
+func (c *Core) headDropped(key string, revision uint64) {
+	if !strings.HasPrefix(key, keyActive) {
+		return
+	}
+	id, chunk, ok := splitActive(key)
+	if !ok || chunk > 0 {
+		return
+	}
+	if j := c.jobs[id]; j != nil && !j.Cancelled && j.Version < revision {
+		c.remember(id, protocol.JobState{ID: id, State: protocol.Done, Done: j.Tasks})
+	}
+	c.gone(id, revision)
+}
+
+// gone notes the revision that ended a job, against late news of its life.
+func (c *Core) gone(id string, revision uint64) {
+	if len(c.goneAt) >= finalsKept {
+		clear(c.goneAt)
+	}
+	c.goneAt[id] = revision
+}
+
 // remember caches a final state, which never changes.
 func (c *Core) remember(id string, s protocol.JobState) {
 	if len(c.finals) >= finalsKept {
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -181,12 +181,7 @@
 			return
 		}
 		c.sched.asked[id] = true
-		c.get(keyState+id, func(r StoreReply) {
-			delete(c.sched.asked, id)
-			if r.Outcome == Applied {
-				c.userState(id, r.Item)
-			}
-		})
+		c.inquire(id, func(finding, protocol.JobState) { delete(c.sched.asked, id) })
 		return
 	}
 	c.dismiss(m, t)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"slices"
 
-	"github.com/segmentio/encoding/json"
-
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/protocol"
 )
@@ -43,16 +41,12 @@
 		c.answer(m.Req, http.StatusBadRequest, protocol.Problem{Error: err.Error()})
 		return
 	}
-	if f, ok := c.finals[s.ID]; ok {
-		c.answer(m.Req, http.StatusOK, f)
-		return
-	}
-	if c.jobs[s.ID] != nil {
+	if _, ended := c.finals[s.ID]; ended || c.jobs[s.ID] != nil {
 		c.repeated(m.Req, s.ID)
 		return
 	}
 	t := c.teamBy[s.Team]
-	if t != nil && c.types == nil || !c.loaded {
+	if t != nil && c.types == nil || !c.loaded || !c.storeOK {
 		c.unavailable(m.Req)
 		return
 	}
@@ -66,28 +60,22 @@
 // refuse answers 422, unless the job was accepted earlier: the settings or the
 // catalogue may have changed since, and an accepted job is never refused.
 func (c *Core) refuse(req uint64, id, why string) {
-	c.userGet(keyState+id, func(r StoreReply) {
-		switch r.Outcome {
-		case Missing:
+	c.inquire(id, func(f finding, s protocol.JobState) {
+		if f == absent {
 			c.answer(req, http.StatusUnprocessableEntity, protocol.Problem{Error: why})
-		case Applied:
-			c.answerState(req, id, r.Item)
-		default:
-			c.unavailable(req)
+			return
 		}
+		c.found(req, f, s)
 	})
 }
 
 func (c *Core) accept(req uint64, t *team, s *job.Spec) {
 	s.Accepted = c.now.Wall
 	head := job.New(*s, c.chunkSize(), c.now.Steady).Head()
-	state, active := keyState+s.ID, activeKey(t.Name, s.ID)
+	active := activeKey(s.ID)
 	c.userTxn(protocol.Txn{
-		If: []protocol.Condition{{Key: state}, {Key: active}},
-		Then: []protocol.Change{
-			put(state, stateKey{Team: t.Name, State: protocol.Queued, Tasks: s.Tasks}),
-			{Put: active, Value: head},
-		},
+		If:   []protocol.Condition{{Key: keyState + s.ID}, {Key: active}},
+		Then: []protocol.Change{{Put: active, Value: head}},
 	}, func(r StoreReply) {
 		switch r.Outcome {
 		case Applied:
@@ -146,74 +134,54 @@
 
 // repeated answers a submission of a known job with its current state.
 func (c *Core) repeated(req uint64, id string) {
-	c.userGet(keyState+id, func(r StoreReply) {
-		if r.Outcome == Applied {
-			c.answerState(req, id, r.Item)
-			return
+	c.inquire(id, func(f finding, s protocol.JobState) {
+		if f == absent {
+			f = untold // its acceptance is on its way, or was never carried out
 		}
-		c.unavailable(req)
+		c.found(req, f, s)
 	})
 }
 
-// status answers from a read that began after the question: only a final state
-// may come from memory, since it never changes.
+// status tells the state of a job as of now: only a final one may come from
+// memory, since it never changes.
 func (c *Core) status(m Status) {
 	if !job.ValidID(m.ID) {
 		c.unknown(m.Req)
 		return
 	}
-	if f, ok := c.finals[m.ID]; ok {
-		c.answer(m.Req, http.StatusOK, f)
-		return
-	}
-	c.userGet(keyState+m.ID, func(r StoreReply) {
-		switch r.Outcome {
-		case Applied:
-			c.answerState(m.Req, m.ID, r.Item)
-		case Missing:
-			c.unknown(m.Req)
-		default:
-			c.unavailable(m.Req)
-		}
-	})
+	c.inquire(m.ID, func(f finding, s protocol.JobState) { c.found(m.Req, f, s) })
 }
 
-func (c *Core) answerState(req uint64, id string, item protocol.KeyValue) {
-	s, ok := c.userState(id, item)
-	if !ok {
+// found answers with what was found out about a job.
+func (c *Core) found(req uint64, f finding, s protocol.JobState) {
+	switch f {
+	case active, final:
+		c.answer(req, http.StatusOK, s)
+	case absent:
+		c.unknown(req)
+	default:
 		c.unavailable(req)
-		return
 	}
-	c.answer(req, http.StatusOK, s)
 }
 
-// userState turns a stored state into what the user is told; the counts of a
-// job that is not final are for display.
-func (c *Core) userState(id string, item protocol.KeyValue) (protocol.JobState, bool) {
-	var k stateKey
-	if err := json.Unmarshal(item.Value, &k); err != nil {
-		c.log(Error, "stored state is not understood", "job", id, "error", err.Error())
-		return protocol.JobState{}, false
+// display is what the user of a job that is not final is told of its progress.
+func (c *Core) display(id string) protocol.JobState {
+	s := protocol.JobState{ID: id, State: protocol.Queued}
+	if j := c.jobs[id]; j != nil {
+		s.Done, s.Running = min(j.Done.Len(), j.Tasks-1), c.running(j)
 	}
-	s := protocol.JobState{ID: id, State: k.State}
-	switch {
-	case k.State == protocol.Done:
-		s.Done = k.Tasks
-		c.remember(id, s)
-	case k.State == protocol.Cancelled:
-		c.remember(id, s)
-	default:
-		if j := c.jobs[id]; j != nil {
-			s.Done, s.Running = min(j.Done.Len(), j.Tasks-1), c.running(j)
-		}
-		if s.Running > 0 {
-			s.State = protocol.Running
-		}
+	if s.Running > 0 {
+		s.State = protocol.Running
 	}
-	return s, true
+	return s
 }
 
+// running counts the running tasks of a job, once in a while: users ask often,
+// and the count is for display.
 func (c *Core) running(j *job.Job) int {
+	if j.CountedAt > 0 && c.now.Steady-j.CountedAt < c.reportInterval()/6 {
+		return j.Running
+	}
 	n := 0
 	for i, b := range j.Bound {
 		if m := c.machines[b.Machine]; m != nil {
@@ -222,6 +190,7 @@
 			}
 		}
 	}
+	j.Running, j.CountedAt = n, c.now.Steady
 	return n
 }
 
@@ -232,39 +201,44 @@
 		c.unknown(m.Req)
 		return
 	}
-	c.userGet(keyState+m.ID, func(r StoreReply) {
-		var k stateKey
-		switch {
-		case r.Outcome == Missing:
-			c.unknown(m.Req)
-		case r.Outcome != Applied || json.Unmarshal(r.Item.Value, &k) != nil:
-			c.unavailable(m.Req)
-		case k.State == protocol.Done || k.State == protocol.Cancelled:
-			c.answerState(m.Req, m.ID, r.Item)
-		default:
-			c.storeCancel(m, k, r.Item.Version)
+	if c.jobs[m.ID] != nil && c.storeOK {
+		c.storeCancel(m)
+		return
+	}
+	c.inquire(m.ID, func(f finding, s protocol.JobState) {
+		if f == active {
+			c.storeCancel(m)
+			return
 		}
+		c.found(m.Req, f, s)
 	})
 }
 
-func (c *Core) storeCancel(m Cancel, k stateKey, version uint64) {
+// storeCancel cancels a job that was accepted: it stays so until it has a final
+// state, so that it has none is all that the write depends on.
+func (c *Core) storeCancel(m Cancel) {
 	state := keyState + m.ID
 	c.userTxn(protocol.Txn{
-		If: []protocol.Condition{{Key: state, Version: version}},
-		Then: []protocol.Change{
-			put(state, stateKey{State: protocol.Cancelled, Tasks: k.Tasks}),
-			put(cancelKey(k.Team, m.ID), struct{}{}),
-		},
+		If:   []protocol.Condition{{Key: state}},
+		Then: []protocol.Change{put(state, stateKey{State: protocol.Cancelled}), put(cancelKey(m.ID), struct{}{})},
 	}, func(r StoreReply) {
-		if r.Outcome != Applied {
-			c.unavailable(m.Req) // the repeated request reads what came of it
-			return
+		switch r.Outcome {
+		case Applied:
+			s := protocol.JobState{ID: m.ID, State: protocol.Cancelled}
+			c.remember(m.ID, s)
+			c.log(Debug, "job cancelled", "job", m.ID)
+			c.markCancelled(c.jobs[m.ID])
+			c.answer(m.Req, http.StatusOK, s)
+		case Conflict:
+			c.inquire(m.ID, func(f finding, s protocol.JobState) {
+				if f == active {
+					f = untold // the repeated request tells
+				}
+				c.found(m.Req, f, s)
+			})
+		default:
+			c.unavailable(m.Req) // the repeated request finds out what came of it
 		}
-		s := protocol.JobState{ID: m.ID, State: protocol.Cancelled}
-		c.remember(m.ID, s)
-		c.log(Debug, "job cancelled", "job", m.ID)
-		c.markCancelled(c.jobs[m.ID])
-		c.answer(m.Req, http.StatusOK, s)
 	})
 }
 
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -49,6 +49,10 @@
 	cfg     map[string]*settings.Settings
 	// unlisted is a machine that the cloud has taken back without notice.
 	unlisted string
+	// requests counts what the controllers ask of the state service.
+	requests int
+	// terse makes a failed transaction name one failed key only.
+	terse bool
 }
 
 // fakeWorker follows the worker's side of the protocol.
@@ -268,16 +272,22 @@
 	if len(e.Txn.Then) > p.TxnOps || len(e.Txn.If) > 4*p.TxnOps {
 		w.t.Errorf("transaction of %d changes and %d conditions", len(e.Txn.Then), len(e.Txn.If))
 	}
+	w.requests++
 	r := StoreReply{ID: e.ID}
 	for _, cond := range e.Txn.If {
 		if w.kv[cond.Key].Version != cond.Version {
 			r.Failed = append(r.Failed, cond.Key)
 		}
 	}
+	if w.terse && len(r.Failed) > 1 {
+		r.Failed = r.Failed[:1]
+	}
 	if len(r.Failed) > 0 {
 		r.Outcome, r.Revision = Conflict, w.revision
 	} else {
-		w.revision++
+		if len(e.Txn.Then) > 0 {
+			w.revision++
+		}
 		for _, ch := range e.Txn.Then {
 			if float64(len(ch.Value)) > p.ValueKB*1024 {
 				w.t.Errorf("value of %s has %d bytes", ch.Put, len(ch.Value))
@@ -294,6 +304,7 @@
 }
 
 func (w *world) get(node string, e StoreGet) {
+	w.requests++
 	r := StoreReply{ID: e.ID, Outcome: Missing, Revision: w.revision}
 	if kv, ok := w.kv[e.Key]; ok {
 		r.Outcome, r.Item = Applied, kv
@@ -431,7 +442,7 @@
 			}
 		}
 	}
-	if s, ok := w.state(id); ok && s.State != protocol.Queued {
+	if s, ok := w.state(id); ok {
 		w.t.Errorf("%v: %s starts although its job is %s", w.now, task, s.State)
 	}
 	if used := w.inUse("red"); used > 16+1e-6 {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -38,7 +38,7 @@
 	out := core.StoreReply{Revision: r.Revision, Failed: r.Failed}
 	switch {
 	case errors.Is(err, httpc.ErrUnsent):
-		out.Outcome = core.Refused
+		out.Outcome, out.Down = core.Refused, true
 	case err != nil:
 		out.Outcome = core.Unknown
 	case status == fasthttp.StatusOK:
@@ -51,7 +51,7 @@
 		slog.Error("state service calls a transaction malformed", "error", r.Error)
 		out.Outcome = core.Refused
 	default:
-		out.Outcome = core.Refused
+		out.Outcome, out.Down = core.Refused, status == fasthttp.StatusServiceUnavailable
 	}
 	return out
 }
@@ -63,6 +63,8 @@
 	out := core.StoreReply{Outcome: core.Refused, Item: kv, Revision: kv.Revision}
 	switch {
 	case err != nil:
+	case status == fasthttp.StatusServiceUnavailable:
+		out.Down = true
 	case status == fasthttp.StatusOK:
 		out.Outcome = core.Applied
 	case status == fasthttp.StatusNotFound:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -141,7 +141,8 @@
 	}
 }
 
-// try repeats a request that was not carried out, for a user only shortly.
+// try repeats a request that was not carried out, for a user only shortly, and
+// not when the state service is down: the user is told to come back instead.
 func (s *Store) try(quick bool, writes int, f func() core.StoreReply) core.StoreReply {
 	patience := s.report()
 	if quick {
@@ -155,7 +156,7 @@
 		}
 		r := f()
 		s.health.note(r.Outcome != core.Refused && r.Outcome != core.Unknown, s.report())
-		if r.Outcome != core.Refused || time.Since(start)+pause > patience {
+		if r.Outcome != core.Refused || quick && r.Down || time.Since(start)+pause > patience {
 			return r
 		}
 		time.Sleep(pause/2 + rand.N(pause))
