--- /dev/null
+++ b/internal/core/blame_test.go
@@ -0,0 +1,87 @@
+package core
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// startsOf counts the starts of a job's tasks.
+func (w *world) startsOf(id string) int {
+	n := 0
+	for task, times := range w.starts {
+		if strings.HasPrefix(task, id+"/") {
+			n += times
+		}
+	}
+	return n
+}
+
+// A job submitted with a mistake used to fail on every machine at once, again and
+// again, and each machine that it failed on three times was given up, with the
+// work of others on it.
+func TestJobWithAMistakeNeitherBurnsTheFleetNorHasItGivenUp(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 40, ""))
+	if !w.run(2*time.Minute, w.finished("req-blue-1")) {
+		t.Fatal("job does not end")
+	}
+	w.broken["req-free-1"] = true
+	accepted(t, w.submit("b", "req-free-1", 30, ""))
+	accepted(t, w.submit("c", "req-red-1", 30, ""))
+	w.run(20*time.Second, nil)
+	first := w.startsOf("req-free-1")
+	w.run(30*time.Second, nil)
+	if n := w.startsOf("req-free-1") - first; n > 4 {
+		t.Errorf("%d more starts in half a minute", n)
+	}
+	for _, c := range w.cores {
+		for id, why := range c.rental.doomed {
+			t.Errorf("%s is given up: %s", id, why)
+		}
+	}
+	if !w.run(time.Minute, w.finished("req-red-1")) {
+		t.Error("a sound job does not end beside it")
+	}
+	// A new home knows what the old one had learned.
+	before := w.startsOf("req-free-1")
+	for _, n := range nodeNames {
+		w.crash(n)
+		w.expire(n)
+		w.boot(n)
+	}
+	w.run(20*time.Second, nil)
+	if n := w.startsOf("req-free-1") - before; n > 3 {
+		t.Errorf("%d starts after a new home took over", n)
+	}
+}
+
+func TestJobThatWasMerelyUnluckyRunsAsSoonAsOneTaskSucceeds(t *testing.T) {
+	w := newWorld(t).ready()
+	w.broken["req-blue-1"] = true
+	accepted(t, w.submit("a", "req-blue-1", 12, ""))
+	w.run(30*time.Second, nil)
+	w.broken["req-blue-1"] = false
+	if !w.run(3*time.Minute, w.finished("req-blue-1")) {
+		t.Error("job does not end")
+	}
+}
+
+func TestFaultyMachineIsGivenUpAndItsTasksSucceedElsewhere(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-blue-1", 12, ""))
+	if !w.run(time.Minute, w.finished("req-blue-1")) {
+		t.Fatal("job does not end")
+	}
+	var faulty string
+	for id := range w.workers {
+		faulty = max(faulty, id)
+	}
+	w.faulty[faulty] = true
+	for _, id := range []string{"req-blue-2", "req-blue-3", "req-red-1"} {
+		accepted(t, w.submit("b", id, 12, ""))
+	}
+	if !w.run(2*time.Minute, w.finished("req-blue-2", "req-blue-3", "req-red-1")) {
+		t.Error("jobs do not end")
+	}
+}
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -371,6 +371,7 @@
 		c.sched.dirty = true
 	}
 	m.Node, m.Term, m.Seen = o.Node, o.Term, c.now.Steady
+	c.learn(m, &r)
 	m.Update(r, c.now.Steady)
 	c.ledger.Touch(r.Machine)
 	c.settleMachine(m)
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -68,7 +68,7 @@
 		case quiet > 2*c.reportInterval() && c.unlisted(id):
 			c.doom(id, "no longer listed")
 		}
-		if m.Errors >= 3 {
+		if c.faults(m) >= guiltyAt {
 			c.doom(id, "tasks fail on it")
 		}
 	}
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -55,9 +55,14 @@
 
 	// InFlight is set while a transaction on the job is not answered.
 	InFlight bool
-	// Failures counts errors in a row; NotBefore delays the next start.
-	Failures  int
-	NotBefore time.Duration
+	// Suspected is set while the job is taken to have been submitted with a
+	// mistake, Proven once a task of it has succeeded. FailedOn names the
+	// machines that it has failed on since, Probes counts its tries, NotBefore
+	// delays the next start.
+	Suspected, Proven bool
+	FailedOn          []string
+	Probes            int
+	NotBefore         time.Duration
 	// Urgent asks for the job to be stored without delay; StoredAt is when it
 	// last was, CancelledAt when its cancellation became known.
 	Urgent                bool
@@ -97,6 +102,7 @@
 	Nonce    string `json:"w,omitempty"`
 	Attempt  uint64 `json:"n"`
 	Finished string `json:"f,omitempty"`
+	Suspect  bool   `json:"x,omitempty"`
 	First    *chunk `json:"c"`
 }
 
@@ -131,7 +137,7 @@
 		}
 	}
 	raw, err := json.Marshal(record{Spec: &j.Spec, Nonce: j.Nonce, Attempt: j.Attempt,
-		Finished: finished.Format(0, j.chunks()), First: j.chunk(0)})
+		Finished: finished.Format(0, j.chunks()), Suspect: j.Suspected, First: j.chunk(0)})
 	if err != nil {
 		panic(err) // plain data always has a JSON form
 	}
@@ -220,7 +226,7 @@
 	id := j.ID
 	j.Spec = *r.Spec
 	j.ID = id
-	j.Nonce, j.Attempt = r.Nonce, r.Attempt
+	j.Nonce, j.Attempt, j.Suspected = r.Nonce, r.Attempt, r.Suspect
 	var finished Set
 	if err := finished.Parse(r.Finished, 0, j.chunks()); err != nil {
 		return err
@@ -319,6 +325,11 @@
 	j.Touch(i)
 }
 
+// Succeeded clears the job of the suspicion of a mistake.
+func (j *Job) Succeeded() {
+	j.Proven, j.Suspected, j.FailedOn, j.Probes, j.NotBefore = true, false, nil, 0, 0
+}
+
 // Waiting is the number of tasks that are neither done nor bound.
 func (j *Job) Waiting() int {
 	if j.Cancelled {
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -89,7 +89,7 @@
 func (c *Core) waitingNeed(t *team) job.Resources {
 	var sum job.Resources
 	for _, j := range t.jobs {
-		sum = sum.Plus(j.Need, float64(j.Waiting()))
+		sum = sum.Plus(j.Need, float64(c.allowance(j)))
 	}
 	return sum
 }
@@ -135,7 +135,7 @@
 		}
 		h := placement.Host{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Size: k.size,
 			Room: k.size.Plus(c.boundLoad(m), -1), Images: m, Empty: !c.bound(id), Lasts: -1,
-			Penalty: float64(m.Errors), Scale: k.scale, Dear: k.dear}
+			Penalty: float64(c.faults(m)), Scale: k.scale, Dear: k.dear}
 		if m.NoticeAt > 0 {
 			h.Lasts = (m.NoticeAt - c.now.Steady).Seconds()
 		}
@@ -164,7 +164,7 @@
 		return false
 	}
 	quiet := c.now.Steady - m.Seen
-	return quiet < 2*c.reportInterval()+c.reportInterval()/2 && m.Errors < 3 &&
+	return quiet < 2*c.reportInterval()+c.reportInterval()/2 && c.faults(m) < guiltyAt &&
 		(m.FullAt == 0 || c.now.Steady-m.FullAt > c.reportInterval()/2)
 }
 
@@ -191,7 +191,7 @@
 	if p := u.plans[j.ID]; p != nil {
 		return p
 	}
-	p := &plan{zones: placement.Zones{}, unstored: map[string]bool{}, picker: placement.NewPicker(&j.Spec, hosts)}
+	p := &plan{zones: placement.Zones{}, unstored: map[string]bool{}, picker: placement.NewPicker(&j.Spec, unfailed(j, hosts))}
 	u.plans[j.ID] = p
 	for _, b := range j.Bound {
 		if m := c.machines[b.Machine]; m != nil {
@@ -206,6 +206,19 @@
 	return p
 }
 
+// unfailed leaves out the hosts that a job has failed on since it last
+// succeeded, unless there is no other.
+func unfailed(j *job.Job, hosts []*placement.Host) []*placement.Host {
+	if len(j.FailedOn) == 0 {
+		return hosts
+	}
+	others := slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool { return slices.Contains(j.FailedOn, h.ID) })
+	if !anyHolds(&j.Spec, others) {
+		return hosts
+	}
+	return others
+}
+
 // schedule places waiting tasks. The plan covers the teams of all controllers
 // in the order of the ranking; this node binds those of its own teams and
 // leaves the room of the others to their homes.
@@ -241,9 +254,9 @@
 		u := &turn{team: t, used: c.used(t), plans: map[string]*plan{}}
 		overdue := false
 		for _, j := range t.jobs {
-			if j.Waiting() > 0 && c.now.Steady >= j.NotBefore && j.Version > 0 {
+			if c.allowance(j) > 0 && c.now.Steady >= j.NotBefore && j.Version > 0 {
 				u.jobs = append(u.jobs, j)
-				overdue = overdue || c.now.Steady-j.WaitingSince > seconds(c.policy.TimeoutS)
+				overdue = overdue || !j.Suspected && c.now.Steady-j.WaitingSince > seconds(c.policy.TimeoutS)
 			}
 		}
 		if len(u.jobs) == 0 {
@@ -330,16 +343,18 @@
 		}
 		need := job.Resources{}.Plus(j.Need, float64(n))
 		if c.placeable(u, j, p, need) {
-			if chosen := choose(j, p, n, hosts); chosen != nil {
+			if chosen := choose(j, p, n, c.left(j, p), hosts); chosen != nil {
 				u.used = u.used.Plus(need, 1)
 				c.bindAll(u, j, p, chosen)
-				if p.waiting(j) == 0 {
+				if c.left(j, p) == 0 {
 					u.jobs = u.jobs[1:]
 				}
 				return need, true
 			}
-			c.unplaced(u, j, p)
-			placement.Reserve(&j.Spec, hosts)
+			if !j.Suspected || !anyHolds(&j.Spec, hosts) {
+				c.unplaced(u, j, p)
+				placement.Reserve(&j.Spec, hosts)
+			}
 		}
 		u.jobs = u.jobs[1:]
 	}
@@ -358,7 +373,7 @@
 
 // unplaced notes demand for the renting of machines, up to the team's limit.
 func (c *Core) unplaced(u *turn, j *job.Job, p *plan) {
-	n := p.waiting(j)
+	n := c.left(j, p)
 	right := c.rightOf(u, j)
 	used := u.used
 	fit := 0
@@ -373,15 +388,22 @@
 	}
 }
 
-// waiting is the number of tasks that the round has not placed yet.
-func (p *plan) waiting(j *job.Job) int { return j.Waiting() - p.elsewhere }
+// left is the number of tasks that the round has not placed yet.
+func (c *Core) left(j *job.Job, p *plan) int { return c.allowance(j) - p.elsewhere }
+
+// anyHolds tells whether any host could hold a task, were it empty.
+func anyHolds(s *job.Spec, hosts []*placement.Host) bool {
+	return slices.ContainsFunc(hosts, func(h *placement.Host) bool {
+		return s.Allows(h.Type, h.Zone, h.Spot) && s.Need.Fits(h.Size)
+	})
+}
 
 // choose finds hosts for n tasks of a job and takes their room.
-func choose(j *job.Job, p *plan, n int, hosts []*placement.Host) []*placement.Host {
+func choose(j *job.Job, p *plan, n, left int, hosts []*placement.Host) []*placement.Host {
 	if n > 1 || j.Kind == job.Gang {
 		return placement.Gang(&j.Spec, n, hosts, p.zones)
 	}
-	h := p.picker.Next(p.waiting(j), p.zones)
+	h := p.picker.Next(left, p.zones)
 	if h == nil {
 		return nil
 	}
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -114,31 +114,19 @@
 	case protocol.WhyDone:
 		c.log(Debug, "task done", "task", t.Task, "machine", m.Machine)
 		j.Finish(i)
-		j.Failures, m.Errors = 0, 0
 		c.sched.dirty = true
 		return
 	case protocol.WhyError:
-		m.Errors++
-		c.backOff(j)
-		c.log(Info, "task failed", "task", t.Task, "machine", m.Machine, "failures", j.Failures)
+		c.probe(j)
+		c.log(Debug, "task failed", "task", t.Task, "machine", m.Machine)
 	case protocol.WhyUnknown:
-		c.backOff(j)
+		j.NotBefore = c.now.Steady + c.reportInterval()
 	case protocol.WhyNoRoom, protocol.WhyBusy:
 		m.FullAt = c.now.Steady
 	}
 	c.unbind(j, i)
 }
 
-// backOff delays the next start of a job whose tasks keep failing, so that a
-// job submitted with a mistake does not burn the fleet.
-func (c *Core) backOff(j *job.Job) {
-	j.Failures++
-	if j.Failures > 2 {
-		pause := c.reportInterval() << min(j.Failures-3, 5)
-		j.NotBefore = c.now.Steady + pause
-	}
-}
-
 // leftover deals with a reported task that no binding stands for. It can be
 // forgotten once the store holds what became of it.
 func (c *Core) leftover(j *job.Job, m *worker.Machine, t protocol.TaskReport) {
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -26,11 +26,13 @@
 	// Exits counts the exited tasks in the newest report.
 	Exits  int
 	images map[string]image
-	// Errors counts tasks that failed on it since one succeeded.
-	Errors int
+	// Blame counts the failures of each job on it since any task succeeded.
+	Blame map[string]int
 
 	// since is when each task of the report was first seen running.
 	since []time.Duration
+	// at finds the tasks of a long report.
+	at map[attempt]int
 }
 
 // Ran is how long a task has been seen running.
@@ -108,8 +110,15 @@
 // follow notes since when tasks run and how many have exited.
 func (m *Machine) follow(tasks []protocol.TaskReport, now time.Duration) {
 	since := make([]time.Duration, len(tasks))
+	var at map[attempt]int
+	if len(tasks) > shortReport {
+		at = make(map[attempt]int, len(tasks))
+	}
 	m.Exits = 0
 	for i, t := range tasks {
+		if _, twice := at[attempt{t.Task, t.Attempt}]; at != nil && !twice {
+			at[attempt{t.Task, t.Attempt}] = i
+		}
 		switch t.State {
 		case protocol.Running:
 			since[i] = now
@@ -120,13 +129,28 @@
 			m.Exits++
 		}
 	}
-	m.since = since
+	m.since, m.at = since, at
+}
+
+// attempt names one attempt of a task.
+type attempt struct {
+	task string
+	n    uint64
 }
 
+// shortReport is up to how many tasks are looked through one by one.
+const shortReport = 16
+
 // index is the place of a task's attempt in the newest report, or -1.
-func (m *Machine) index(task string, attempt uint64) int {
+func (m *Machine) index(task string, n uint64) int {
+	if m.at != nil {
+		if i, ok := m.at[attempt{task, n}]; ok {
+			return i
+		}
+		return -1
+	}
 	return slices.IndexFunc(m.Tasks, func(t protocol.TaskReport) bool {
-		return t.Attempt == attempt && t.Task == task
+		return t.Attempt == n && t.Task == task
 	})
 }
 
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -53,6 +53,8 @@
 	requests int
 	// terse makes a failed transaction name one failed key only.
 	terse bool
+	// broken jobs fail wherever they run, on faulty machines everything does.
+	broken, faulty map[string]bool
 }
 
 // fakeWorker follows the worker's side of the protocol.
@@ -88,7 +90,7 @@
 	w := &world{t: t, rng: rand.New(rand.NewPCG(1, 2)), tick: 100 * time.Millisecond,
 		cores: map[string]*Core{}, inbox: map[string][]Command{}, cut: map[string]bool{},
 		kv: map[string]protocol.KeyValue{}, seen: map[string]uint64{}, leases: map[uint64]string{},
-		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{},
+		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{}, broken: map[string]bool{}, faulty: map[string]bool{},
 		cfg: map[string]*settings.Settings{}}
 	for _, n := range nodeNames {
 		w.boot(n)
@@ -336,6 +338,9 @@
 			end, ok := f.running[taskAttempt{task.Task, task.Attempt}]
 			if ok && task.State == protocol.Running && w.now >= end {
 				f.Tasks[i].State, f.Tasks[i].Why = protocol.Exited, protocol.WhyDone
+				if id, _, _ := job.SplitTask(task.Task); w.broken[id] || w.faulty[f.Machine] {
+					f.Tasks[i].Why = protocol.WhyError
+				}
 				changed = true
 			}
 		}
@@ -417,6 +422,9 @@
 				w.checkStart(f, cmd.Task)
 				f.Tasks = append(f.Tasks, protocol.TaskReport{Task: cmd.Task, Attempt: cmd.Attempt, State: protocol.Running})
 				f.running[key] = w.now + 5*time.Second
+				if id, _, _ := job.SplitTask(cmd.Task); w.broken[id] || w.faulty[f.Machine] {
+					f.running[key] = w.now + time.Second
+				}
 			}
 		case protocol.OpStop:
 			if at >= 0 && f.Tasks[at].State != protocol.Exited {
