--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -10,10 +10,13 @@
 
 // budget spreads the changes that the state service takes over what has to be
 // stored. Submissions, terms and machines need theirs at once, so jobs that run
-// already share a part of the limit, each home in proportion to its jobs.
+// already share a part of the limit, each home in proportion to what it has to
+// store: an array of thousands is one job, and a home may have no other.
 type budget struct {
 	rate, level float64
 	at          time.Duration
+	// due is how many changes wait to be stored.
+	due int
 }
 
 // jobsPart is the part of the state service's limit on changes that goes to
@@ -26,14 +29,14 @@
 
 // refill adds what has come in since the last time.
 func (c *Core) refill() {
-	mine := 0
-	for _, t := range c.teams {
-		if t.acting {
-			mine += len(t.jobs)
+	b := &c.budget
+	all := b.due + 1
+	for _, p := range c.peers {
+		if c.now.Steady-p.seen < c.reportInterval() {
+			all += p.due + 1
 		}
 	}
-	part := max(float64(mine)/float64(max(len(c.jobs), 1)), 0.25/float64(len(c.roster)))
-	b := &c.budget
+	part := max(float64(b.due+1)/float64(all), 0.25/float64(len(c.roster)))
 	b.rate = c.cfg.Params.State.WriteRPS * jobsPart * part
 	b.level = min(b.level+b.rate*(c.now.Steady-b.at).Seconds(), max(savings*b.rate, 1))
 	b.at = c.now.Steady
@@ -47,20 +50,10 @@
 		return
 	}
 	c.refill()
+	due := c.due()
 	if c.budget.level <= 0 {
 		return
 	}
-	var due []*job.Job
-	for _, t := range c.teams {
-		if !t.acting {
-			continue
-		}
-		for _, j := range t.jobs {
-			if j.Dirty() && !j.InFlight && c.flushDue(j) {
-				due = append(due, j)
-			}
-		}
-	}
 	slices.SortFunc(due, func(a, b *job.Job) int {
 		return cmp.Or(cmp.Compare(flushRank(a), flushRank(b)), cmp.Compare(a.StoredAt, b.StoredAt), cmp.Compare(a.ID, b.ID))
 	})
@@ -74,6 +67,26 @@
 	}
 }
 
+// due lists the jobs whose changes are to be stored now, and counts them.
+func (c *Core) due() []*job.Job {
+	var due []*job.Job
+	c.budget.due = 0
+	for _, t := range c.teams {
+		if !t.acting {
+			continue
+		}
+		for _, j := range t.jobs {
+			if j.Dirty() && c.flushDue(j) {
+				c.budget.due += 1 + j.DirtyChunks()
+				if !j.InFlight {
+					due = append(due, j)
+				}
+			}
+		}
+	}
+	return due
+}
+
 // usedUp tells the operator once in a while that starts wait for the state
 // service's changes and not for room.
 func (c *Core) usedUp(waiting []*job.Job) {
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -200,6 +200,9 @@
 // Dirty tells whether something waits to be stored.
 func (j *Job) Dirty() bool { return len(j.dirty) > 0 }
 
+// DirtyChunks counts the keys that wait to be stored.
+func (j *Job) DirtyChunks() int { return len(j.dirty) }
+
 // DirtyAt tells whether task i waits to be stored.
 func (j *Job) DirtyAt(i int) bool { return j.dirty[i/j.ChunkSize] }
 
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -12,6 +12,8 @@
 	connected bool
 	storeOK   bool
 	seen      time.Duration
+	// due is how many changes of jobs wait there to be stored.
+	due int
 }
 
 // tell sends a message to a node, this one included.
@@ -128,7 +130,7 @@
 // nodeBeat sends this node's sign of life, with the records of its teams every
 // record interval.
 func (c *Core) nodeBeat() {
-	b := NodeBeat{StoreOK: c.storeOK}
+	b := NodeBeat{StoreOK: c.storeOK, Due: c.budget.due}
 	if c.every(&c.timers.share, recordInterval) {
 		b.Records = map[string]fairness.Record{}
 		for _, t := range c.teams {
@@ -152,7 +154,7 @@
 	if p == nil {
 		return
 	}
-	p.storeOK = b.StoreOK
+	p.storeOK, p.due = b.StoreOK, b.Due
 	for name, r := range b.Records {
 		if t := c.teamBy[name]; t != nil && !t.acting {
 			t.record, t.ranked = r, r
