--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -48,8 +48,10 @@
 
 // Rights, the strongest last.
 const (
+	// Idle demand uses what is there or cheap.
+	Idle Right = iota
 	// Plain demand may wait.
-	Plain Right = iota
+	Plain
 	// Guaranteed demand is within the guarantee of its team.
 	Guaranteed
 	// Pressed demand will be late unless it finds room soon.
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -204,17 +204,35 @@
 func (c *Core) backlog(coming []*placement.Host) time.Duration {
 	work, cpus := 0.0, c.totalCapacity()[0]
 	for _, d := range c.sched.unplaced {
+		if d.Right == fleet.Idle {
+			continue
+		}
 		work += float64(d.Tasks) * d.Spec.Need.CPUs * d.Spec.EstimateS
 	}
 	for _, h := range coming {
 		cpus += h.Size.CPUs
 	}
-	if cpus == 0 {
+	switch {
+	case cpus == 0 && c.spotOpen():
+		return 0 // spot machines first: the next round knows how many come
+	case cpus == 0:
 		return 1 << 62
 	}
 	return seconds(work / cpus)
 }
 
+// spotOpen tells whether the cloud may have any spot machine.
+func (c *Core) spotOpen() bool {
+	for name, t := range c.types {
+		for _, zone := range t.Zones {
+			if c.policy.Spot && c.now.Steady >= c.rental.blocked[offerKey{name, zone, true}].until {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // offers lists what the cloud has not refused lately. Ordinary machines cost
 // several times as much as spot ones, so they are for work that would be late
 // without them, and for a backlog of several times as long as they take to boot.
@@ -225,7 +243,7 @@
 		t := c.types[name]
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				dear := fleet.Plain
+				dear := fleet.Idle
 				if !spot && t.SpotPrice < t.Price && c.policy.Spot {
 					dear = dearness(backlog, seconds(t.BootS))
 				}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -287,6 +287,8 @@
 // strongest once half of its slack has gone by.
 func (c *Core) rightOf(u *turn, j *job.Job) fleet.Right {
 	switch {
+	case lowest(j) && c.now.Steady-j.WaitingSince < patience*seconds(c.cfg.Params.Workers.LeaseS):
+		return fleet.Idle
 	case c.now.Wall-j.Accepted > slack(j)/2:
 		return fleet.Pressed
 	case u.used.CPUs+j.Need.CPUs <= u.team.CPUs:
@@ -295,6 +297,31 @@
 	return fleet.Plain
 }
 
+// lowest tells whether a job is of the lowest priority: it is done in idle time,
+// and what it asks for must not make the fleet dear.
+func lowest(j *job.Job) bool {
+	return j.Priority == len(protocol.Priorities)-1 && j.DeadlineS == 0
+}
+
+// patience is for how many leases work for idle time waits without any room
+// before it counts as other work does.
+const patience = 10
+
+// worth is how many machines' room at most a job of the lowest priority is worth
+// renting: as many as end it within a few boots, not a place for each of
+// thousands of short tasks.
+func (c *Core) worth(j *job.Job, tasks int) int {
+	boot := 0.0
+	for _, t := range c.types {
+		boot = max(boot, t.BootS)
+	}
+	places := math.Ceil(float64(j.Waiting()) * j.EstimateS / max(idleBoots*boot, 1))
+	return max(0, min(tasks, int(places)-len(j.Bound)))
+}
+
+// idleBoots is within how many boots of a machine work for idle time should end.
+const idleBoots = 6
+
 // place runs a round: the ranking picks a team, the team's first job that fits
 // gets a place, and so on until no team has anything that fits.
 func (c *Core) place(turns []*turn, ranked []fairness.Team, hosts []*placement.Host) {
@@ -377,12 +404,17 @@
 	right := c.rightOf(u, j)
 	used := u.used
 	fit := 0
+	if right == fleet.Idle {
+		n = c.worth(j, n)
+	}
 	for fit < n && withinLimit(u.team, used.Plus(j.Need, 1)) {
 		used = used.Plus(j.Need, 1)
 		fit++
 	}
 	u.used = used
-	c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: &j.Spec, Tasks: fit, Right: right})
+	if fit > 0 {
+		c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: &j.Spec, Tasks: fit, Right: right})
+	}
 	if u.team.acting && fit > 0 {
 		c.sched.starved = append(c.sched.starved, j)
 	}
