--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -372,6 +372,7 @@
 	}
 	m.Node, m.Term, m.Seen = o.Node, o.Term, c.now.Steady
 	c.learn(m, &r)
+	c.arrived(r.Machine, o.Node)
 	m.Update(r, c.now.Steady)
 	c.ledger.Touch(r.Machine)
 	c.settleMachine(m)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -106,7 +106,7 @@
 		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, goneAt: map[string]uint64{},
 		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{},
 		peers: map[string]*peerState{}, storeOK: true,
-		sched: newSchedState(), rental: newRentState(),
+		sched: newSchedState(), rental: newRentState(), spread: newSpread(),
 	}
 	for _, t := range cfg.Params.Teams {
 		c.addTeam(&team{Team: t, key: keyHome + teamPart(t.Name), jobs: map[string]*job.Job{}})
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -21,6 +21,7 @@
 // removeMachine forgets a machine that is gone for good.
 func (c *Core) removeMachine(id string) {
 	delete(c.machines, id)
+	delete(c.spread.sent, id)
 	if at, found := slices.BinarySearch(c.ids, id); found {
 		c.ids = slices.Delete(c.ids, at, at+1)
 	}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -25,7 +25,7 @@
 	// listAt is when that list came.
 	listAt time.Duration
 	// blocked remembers refusals per type, zone and kind.
-	blocked map[offerKey]block
+	blocked map[offerKey]pause
 	doomed  map[string]string
 	// since is when this node became the renter.
 	since time.Duration
@@ -36,15 +36,10 @@
 	spot      bool
 }
 
-type block struct {
-	until time.Duration
-	pause time.Duration
-}
-
 func newRentState() rentState {
 	return rentState{closing: map[string]time.Duration{}, releasing: map[string]time.Duration{},
 		listed: map[string]protocol.ListedMachine{}, came: map[string]time.Duration{},
-		blocked: map[offerKey]block{}, doomed: map[string]string{}}
+		blocked: map[offerKey]pause{}, doomed: map[string]string{}}
 }
 
 // reset starts the renter's part over.
@@ -319,10 +314,8 @@
 
 // refusedOffer pauses an offer, longer each time.
 func (c *Core) refusedOffer(key offerKey) {
-	b := c.rental.blocked[key]
-	b.pause = min(max(2*b.pause, seconds(c.cfg.Params.Cloud.ListLagS)/2), 4*seconds(c.cfg.Params.Cloud.ListLagS))
-	b.until = c.now.Steady + b.pause
-	c.rental.blocked[key] = b
+	lag := seconds(c.cfg.Params.Cloud.ListLagS)
+	c.rental.blocked[key] = c.rental.blocked[key].grow(c.now.Steady, lag/2, 4*lag)
 	c.log(Info, "cloud has no capacity", "type", key.typ, "zone", key.zone, "spot", key.spot)
 }
 
--- a/internal/core/spread.go
+++ b/internal/core/spread.go
@@ -6,19 +6,42 @@
 	"pepperlever/internal/protocol"
 )
 
-// spread counts the workers that each controller hears, as of a moment ago.
+// spread is what this node knows for sending workers on: how many each
+// controller hears, as of a moment ago, and what came of sending.
 type spread struct {
 	until time.Duration
 	heard map[string]int
 	near  map[nodeZone]bool
+	// sent holds where workers were sent that have not reported since, avoid
+	// the controllers that some of them could not reach.
+	sent  map[string]string
+	avoid map[string]pause
+}
+
+// pause is how long something is left alone; it grows each time.
+type pause struct {
+	until time.Duration
+	last  time.Duration
+}
+
+// grow starts the next pause, twice as long as the last one and at most most.
+func (p pause) grow(now, least, most time.Duration) pause {
+	p.last = min(max(2*p.last, least), most)
+	p.until = now + p.last
+	return p
 }
 
 type nodeZone struct{ node, zone string }
 
+func newSpread() spread {
+	return spread{sent: map[string]string{}, avoid: map[string]pause{}}
+}
+
 // lighter names a controller that a worker should report to instead, or
-// nothing. It is one that hears clearly fewer workers, and some of them from
-// this worker's zone, so that it can be reached from there. Workers with
-// something under way stay, and only a few are sent on at a time.
+// nothing. It is one that hears fewer workers than it should while this node
+// hears more, and some of them from this worker's zone, so that it can be reached
+// from there. Workers with something under way stay, and only a part of the
+// surplus is sent on at a time: others send theirs too.
 func (c *Core) lighter(r *protocol.Report) string {
 	w := c.own[r.Machine]
 	if c.now.Steady < c.timers.spread || len(w.queue)+len(w.orders)+len(w.sent) > 0 || w.busy {
@@ -26,34 +49,80 @@
 	}
 	c.countHeard()
 	heard, best := c.spread.heard, ""
+	sum, able := heard[c.cfg.Node], 1
 	for _, p := range c.cfg.Peers {
-		state := c.peers[p.Node]
-		able := state.connected && state.storeOK && c.now.Steady-state.seen < c.reportInterval()
-		if able && (c.spread.near[nodeZone{p.Node, r.Zone}] || heard[p.Node] == 0) && (best == "" || heard[p.Node] < heard[best]) {
+		if !c.able(p.Node) {
+			continue
+		}
+		sum, able = sum+heard[p.Node], able+1
+		if c.mayReach(p.Node, r.Zone) && (best == "" || heard[p.Node] < heard[best]) {
 			best = p.Node
 		}
 	}
-	mine := heard[c.cfg.Node]
-	if best == "" || mine < heard[best]+mine/4+2 {
+	fair := sum / able
+	surplus := heard[c.cfg.Node] - fair
+	if best == "" || heard[best] >= fair || surplus < fair/8+1 {
 		return ""
 	}
-	// The larger the surplus the quicker it goes: a quarter of it in one interval.
-	c.timers.spread = c.now.Steady + 4*c.reportInterval()/time.Duration(mine-heard[best])
+	c.timers.spread = c.now.Steady + 4*c.reportInterval()/time.Duration(surplus)
 	heard[c.cfg.Node]--
 	heard[best]++
+	c.spread.sent[r.Machine] = best
 	return best
 }
 
+// able tells whether a controller is there to take workers.
+func (c *Core) able(node string) bool {
+	p := c.peers[node]
+	return p.connected && p.storeOK && c.now.Steady-p.seen < c.reportInterval() && c.now.Steady >= c.spread.avoid[node].until
+}
+
+// mayReach tells whether workers of a zone are likely to reach a controller. One
+// that hears none at all is tried with a single worker.
+func (c *Core) mayReach(node, zone string) bool {
+	if c.spread.heard[node] > 0 {
+		return c.spread.near[nodeZone{node, zone}]
+	}
+	for _, to := range c.spread.sent {
+		if to == node {
+			return false
+		}
+	}
+	return true
+}
+
+// arrived notes where a worker reports that was sent elsewhere. A controller may
+// be cut off from workers alone; it looks idle to the others, who would send it
+// their workers again and again, each to be without a controller for seconds.
+func (c *Core) arrived(machine, node string) {
+	to, sent := c.spread.sent[machine]
+	if !sent {
+		return
+	}
+	delete(c.spread.sent, machine)
+	if node == to {
+		delete(c.spread.avoid, to)
+		return
+	}
+	if c.now.Steady < c.spread.avoid[to].until {
+		return
+	}
+	lease := seconds(c.cfg.Params.Workers.LeaseS)
+	c.spread.avoid[to] = c.spread.avoid[to].grow(c.now.Steady, lease, 8*lease)
+	c.log(Info, "controller cannot be reached by workers", "node", to, "does", "sends it none", "for", c.spread.avoid[to].last)
+}
+
 // countHeard counts anew once in a while, not at every report.
 func (c *Core) countHeard() {
 	if c.now.Steady < c.spread.until {
 		return
 	}
-	c.spread = spread{until: c.now.Steady + c.reportInterval()/3, heard: map[string]int{}, near: map[nodeZone]bool{}}
+	s := &c.spread
+	s.until, s.heard, s.near = c.now.Steady+c.reportInterval()/3, map[string]int{}, map[nodeZone]bool{}
 	for _, m := range c.machines {
 		if c.now.Steady-m.Seen < 2*c.reportInterval() {
-			c.spread.heard[m.Node]++
-			c.spread.near[nodeZone{m.Node, m.Zone}] = true
+			s.heard[m.Node]++
+			s.near[nodeZone{m.Node, m.Zone}] = true
 		}
 	}
 }
--- /dev/null
+++ b/internal/core/spread_test.go
@@ -0,0 +1,62 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// A controller that is cut off from the workers alone hears none and so looked
+// like the one to send them to: each sent one failed to reach it, came back and
+// was sent again, 500 times a minute on a recorded day.
+func TestWorkersAreNotSentAgainAndAgainToAControllerThatTheyCannotReach(t *testing.T) {
+	w := newWorld(t).ready()
+	for range 12 {
+		w.addWorker("z1", false)
+	}
+	accepted(t, w.submit("a", "req-free-1", 20000, ""))
+	w.run(20*time.Second, nil)
+	w.deaf["c"] = true
+	w.run(20*time.Second, nil)
+	before := w.redirected["c"]
+	w.run(30*time.Second, nil)
+	if n := w.redirected["c"] - before; n > 6 {
+		t.Errorf("%d workers were sent to c, which they cannot reach", n)
+	}
+	w.deaf["c"] = false
+	w.run(2*time.Minute, nil)
+	if n := len(w.cores["c"].own); n < 3 {
+		t.Errorf("c hears %d workers again", n)
+	}
+}
+
+func TestWorkersDoNotGoToAndFroBetweenControllers(t *testing.T) {
+	w := newWorld(t).ready()
+	for range 30 {
+		w.addWorker("z1", false)
+	}
+	accepted(t, w.submit("a", "req-free-1", 20000, ""))
+	w.run(40*time.Second, nil)
+	w.crash("b")
+	w.expire("b")
+	w.run(20*time.Second, nil)
+	w.boot("b")
+	sum := func() (n int) {
+		for _, node := range nodeNames {
+			n += w.redirected[node]
+		}
+		return n
+	}
+	before := sum()
+	w.run(40*time.Second, nil)
+	if n := sum() - before; n > len(w.workers)*2/3 {
+		t.Errorf("%d moves of %d workers to spread them over one more node", n, len(w.workers))
+	}
+	var heard []int
+	for _, node := range nodeNames {
+		heard = append(heard, len(w.cores[node].own))
+	}
+	if most, least := slices.Max(heard), slices.Min(heard); most > 2*least {
+		t.Errorf("controllers hear %v workers", heard)
+	}
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -53,6 +53,10 @@
 	requests int
 	// terse makes a failed transaction name one failed key only.
 	terse bool
+	// deaf nodes cannot be reached by workers; redirected counts how many were
+	// sent to each node.
+	deaf       map[string]bool
+	redirected map[string]int
 	// broken jobs fail wherever they run, on faulty machines everything does.
 	broken, faulty map[string]bool
 }
@@ -91,6 +95,7 @@
 		cores: map[string]*Core{}, inbox: map[string][]Command{}, cut: map[string]bool{},
 		kv: map[string]protocol.KeyValue{}, seen: map[string]uint64{}, leases: map[uint64]string{},
 		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{}, broken: map[string]bool{}, faulty: map[string]bool{},
+		deaf: map[string]bool{}, redirected: map[string]int{},
 		cfg: map[string]*settings.Settings{}}
 	for _, n := range nodeNames {
 		w.boot(n)
@@ -355,7 +360,7 @@
 	f.next = w.now + 2*time.Second
 	node := nodeNames[f.node%len(nodeNames)]
 	c := w.cores[node]
-	if c == nil {
+	if c == nil || w.deaf[node] {
 		f.node++
 		return
 	}
@@ -369,6 +374,7 @@
 	a, ok := w.answers[req]
 	delete(w.answers, req)
 	if to, ok := a.Body.(protocol.Redirect); ok {
+		w.redirected[to.ReportTo]++
 		f.node = slices.Index(nodeNames, to.ReportTo)
 		f.next = w.now + 500*time.Millisecond
 		return
