--- /dev/null
+++ b/internal/core/boots_test.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pepperlever/internal/protocol"
+)
+
+// renter makes a core that rents, with n machines rented age ago and not up yet.
+func renter(t *testing.T, n int, age time.Duration) *Core {
+	t.Helper()
+	c := newWorld(t).ready().cores[nodeNames[0]]
+	c.fleet.acting = true
+	c.rental.reset(c.now.Steady)
+	c.now.Steady += time.Hour
+	var l ListIn
+	for i := range n {
+		l.Machines = append(l.Machines, protocol.ListedMachine{ID: fmt.Sprintf("vm-9%03d", i), Type: "small", Zone: "z1", Spot: true,
+			State: protocol.Booting, AgeS: age.Seconds()})
+	}
+	c.listIn(l)
+	c.weighBoots()
+	return c
+}
+
+func (c *Core) comesUp(id string) {
+	c.handle(Beat{Req: 1, Report: protocol.Report{Machine: id, Address: id, Type: "small", Zone: "z1", Spot: true, Session: 1, Seq: 1}})
+}
+
+// When all machines came up late, the renter used to count none of them as
+// coming any more, rented the whole fleet again, and later gave all of them up.
+func TestMachinesThatAreAllLateAreAwaitedAndNotRentedTwice(t *testing.T) {
+	const boot = 5 * time.Second
+	c := renter(t, 10, 5*boot)
+	if n := len(c.coming()); n != 10 {
+		t.Errorf("%d of 10 late machines are awaited", n)
+	}
+	c.tendListed()
+	if n := len(c.rental.doomed); n > 0 {
+		t.Errorf("%d late machines are given up", n)
+	}
+}
+
+func TestMachineThatNeverComesUpIsGivenUpWhenTheOthersHaveLongCome(t *testing.T) {
+	const boot = 5 * time.Second
+	c := renter(t, 10, boot)
+	for i := range 9 {
+		c.comesUp(fmt.Sprintf("vm-9%03d", i))
+	}
+	c.now.Steady += 2*boot + c.silence() + boot
+	c.weighBoots()
+	if n := len(c.coming()); n > 0 {
+		t.Errorf("%d machines are awaited that hardly come", n)
+	}
+	c.tendListed()
+	if c.rental.doomed["vm-9009"] == "" {
+		t.Error("the machine that does not come up is kept")
+	}
+}
+
+func TestOfferWhoseMachinesNeverComeUpIsLeftAloneForAWhile(t *testing.T) {
+	c := renter(t, 0, 0)
+	l := protocol.ListedMachine{Type: "small", Zone: "z1", Spot: true}
+	before := len(c.offers(0))
+	for range dudsAllowed {
+		c.dud(l)
+	}
+	if n := len(c.offers(0)); n != before-1 {
+		t.Errorf("%d offers of %d are left", n, before)
+	}
+}
--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -10,15 +10,20 @@
 
 // budget spreads the changes that the state service takes over what has to be
 // stored. Submissions, terms and machines need theirs at once, so jobs that run
-// already share a part of the limit, each home in proportion to what it has to
-// store: an array of thousands is one job, and a home may have no other.
+// already share a part of the limit. What is the most urgent anywhere goes first,
+// each home in proportion to what it has of that: an array of thousands is one
+// job, and a swarm of small jobs of one team must not hold up the urgent work of
+// the others.
 type budget struct {
 	rate, level float64
 	at          time.Duration
-	// due is how many changes wait to be stored.
-	due int
+	// due is how many changes wait to be stored, by rank.
+	due ranks
 }
 
+// ranks counts changes by the rank of their jobs, see flushRank.
+type ranks [rankRest + 1]int
+
 // jobsPart is the part of the state service's limit on changes that goes to
 // storing starts and ends.
 const jobsPart = 0.6
@@ -30,16 +35,36 @@
 // refill adds what has come in since the last time.
 func (c *Core) refill() {
 	b := &c.budget
-	all := b.due + 1
+	part := c.part()
+	b.rate = part
+	b.level = min(b.level+b.rate*(c.now.Steady-b.at).Seconds(), max(savings*b.rate, 1))
+	b.at = c.now.Steady
+}
+
+// part is this home's part of the changes a second. All that waits somewhere
+// should be stored within a second, rank by rank as far as the changes go; what
+// is left over is for all homes alike, so that each can store a start at once.
+func (c *Core) part() float64 {
+	left := c.cfg.Params.State.WriteRPS * jobsPart
+	homes := float64(len(c.roster))
+	least := left / 4 / homes
+	all := c.budget.due
 	for _, p := range c.peers {
 		if c.now.Steady-p.seen < c.reportInterval() {
-			all += p.due + 1
+			for r, n := range p.due {
+				all[r] += n
+			}
 		}
 	}
-	part := max(float64(b.due+1)/float64(all), 0.25/float64(len(c.roster)))
-	b.rate = c.cfg.Params.State.WriteRPS * jobsPart * part
-	b.level = min(b.level+b.rate*(c.now.Steady-b.at).Seconds(), max(savings*b.rate, 1))
-	b.at = c.now.Steady
+	mine := 0.0
+	for r, n := range all {
+		if n > 0 {
+			want := min(left, float64(n))
+			mine += want * float64(c.budget.due[r]) / float64(n)
+			left -= want
+		}
+	}
+	return max(mine+left/homes, least)
 }
 
 // flushAll stores what has changed of the jobs that this node is home of, what
@@ -70,14 +95,14 @@
 // due lists the jobs whose changes are to be stored now, and counts them.
 func (c *Core) due() []*job.Job {
 	var due []*job.Job
-	c.budget.due = 0
+	c.budget.due = ranks{}
 	for _, t := range c.teams {
 		if !t.acting {
 			continue
 		}
 		for _, j := range t.jobs {
 			if j.Dirty() && c.flushDue(j) {
-				c.budget.due += 1 + j.DirtyChunks()
+				c.budget.due[flushRank(j)] += 1 + j.DirtyChunks()
 				if !j.InFlight {
 					due = append(due, j)
 				}
@@ -96,17 +121,21 @@
 }
 
 // flushRank orders what waits to be stored: ends that users are told of, then
-// starts by priority, then the rest.
+// starts by priority, then the rest. Work of the lowest priority waits for all
+// other starts, its ends too.
 func flushRank(j *job.Job) int {
-	switch {
-	case j.Complete() || j.Cancelled:
+	switch ends := j.Complete() || j.Cancelled; {
+	case ends && !lowest(j):
 		return 0
-	case j.Urgent:
+	case ends || j.Urgent:
 		return 1 + j.Priority
 	}
-	return 1 << 8
+	return rankRest
 }
 
+// rankRest is the rank of what nobody waits for.
+const rankRest = 5
+
 // endsPart is the part of the jobs' changes that goes to finished tasks of jobs
 // that go on.
 const endsPart = 1.0 / 3
--- a/internal/core/budget_test.go
+++ b/internal/core/budget_test.go
@@ -71,3 +71,20 @@
 		t.Errorf("%d questions for three jobs, %d orders", len(c.asks.strange), len(w.orders))
 	}
 }
+
+// A swarm of a guest's small jobs used to take nine tenths of the changes, since
+// hundreds of them waited, and the urgent starts of the other homes had the rest.
+func TestSwarmOfTheLowestPriorityLeavesTheChangesToUrgentStarts(t *testing.T) {
+	c := busyCore(4)
+	all := c.cfg.Params.State.WriteRPS * jobsPart
+	other := c.peers[c.cfg.Peers[0].Node]
+	other.seen, other.due = c.now.Steady, ranks{4: 500}
+	c.budget.due = ranks{2: int(all)}
+	if got := c.part(); got < 0.9*all {
+		t.Errorf("urgent starts have %v of %v changes a second", got, all)
+	}
+	c.budget.due, other.due = ranks{4: 500}, ranks{}
+	if got := c.part(); got < 0.9*all {
+		t.Errorf("a swarm alone has %v of %v changes a second", got, all)
+	}
+}
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -359,6 +359,7 @@
 	r := o.Report
 	m := c.machines[r.Machine]
 	if m == nil {
+		c.cameUp(&r)
 		m = c.addMachine(r.Machine)
 	} else if !m.Newer(&r) {
 		if m.Session == r.Session && o.Term > m.Term {
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -45,13 +45,15 @@
 	}
 	for id, l := range c.rental.listed {
 		age := c.now.Steady - c.rental.came[id]
-		limit := 4*seconds(c.types[l.Type].BootS) + c.silence()
+		limit := c.givenUp(l.Type)
 		switch {
 		case l.State == protocol.Failed:
 			c.doom(id, "failed")
 		case c.machines[id] != nil || !settled:
 		case l.State == protocol.Booting && age > limit:
-			c.doom(id, "does not come up")
+			if c.doom(id, "does not come up") {
+				c.dud(l)
+			}
 		case l.State != protocol.Booting && c.now.Steady-c.rental.since > limit && age > limit:
 			c.doom(id, "never heard")
 		}
@@ -86,13 +88,15 @@
 	return true
 }
 
-// doom has a machine released with all that is on it.
-func (c *Core) doom(id, why string) {
+// doom has a machine released with all that is on it, and tells whether that is
+// new.
+func (c *Core) doom(id, why string) bool {
 	if c.marks[id].Gone || c.rental.doomed[id] != "" {
-		return
+		return false
 	}
 	c.log(Info, "machine given up", "machine", id, "why", why)
 	c.rental.doomed[id], c.rental.closing[id] = why, c.now.Steady
+	return true
 }
 
 // unlisted tells whether the cloud has taken a machine back: a list may be late
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -256,8 +256,8 @@
 // NodeBeat is a controller's sign of life with its records of its teams.
 type NodeBeat struct {
 	StoreOK bool `json:"s"`
-	// Due is how many changes of jobs wait to be stored.
-	Due     int                        `json:"d,omitempty"`
+	// Due is how many changes of jobs wait to be stored, by rank. by rank.
+	Due     ranks                      `json:"d"`
 	Records map[string]fairness.Record `json:"r,omitempty"`
 	// Heard names the machines that this node has heard since its last beat.
 	Heard []string `json:"h,omitempty"`
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -13,7 +13,7 @@
 	storeOK   bool
 	seen      time.Duration
 	// due is how many changes of jobs wait there to be stored.
-	due int
+	due ranks
 }
 
 // tell sends a message to a node, this one included.
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -27,6 +27,7 @@
 	// blocked remembers refusals per type, zone and kind.
 	blocked map[offerKey]pause
 	doomed  map[string]string
+	boots   boots
 	// since is when this node became the renter.
 	since time.Duration
 }
@@ -39,7 +40,7 @@
 func newRentState() rentState {
 	return rentState{closing: map[string]time.Duration{}, releasing: map[string]time.Duration{},
 		listed: map[string]protocol.ListedMachine{}, came: map[string]time.Duration{},
-		blocked: map[offerKey]pause{}, doomed: map[string]string{}}
+		blocked: map[offerKey]pause{}, doomed: map[string]string{}, boots: newBoots()}
 }
 
 // reset starts the renter's part over.
@@ -75,6 +76,7 @@
 	if c.types == nil {
 		return
 	}
+	c.weighBoots()
 	c.tendIntents()
 	c.tendListed()
 	c.tendIdle()
@@ -150,19 +152,18 @@
 		out = append(out, &placement.Host{ID: id, Type: typ, Zone: zone, Spot: spot, Room: size, Size: size, Lasts: -1})
 	}
 	for _, l := range c.rental.listed {
-		if l.State == protocol.Booting && c.now.Steady-c.rental.came[l.ID] < 2*seconds(c.types[l.Type].BootS) {
+		if l.State == protocol.Booting && c.now.Steady-c.rental.came[l.ID] < c.awaited(l.Type) {
 			add(l.ID, l.Type, l.Zone, l.Spot)
 		}
 	}
 	for name, i := range c.intents {
-		ids := i.Machines
-		if ids == nil {
+		if i.Machines == nil {
 			for n := range i.Rental.Count {
-				ids = append(ids, fmt.Sprintf("%s#%d", name, n))
+				add(fmt.Sprintf("%s#%d", name, n), i.Rental.Type, i.Rental.Zone, i.Rental.Spot)
 			}
 		}
-		for _, id := range ids {
-			if c.now.Steady-c.cameAt(id) < 2*seconds(c.types[i.Rental.Type].BootS) {
+		for _, id := range i.Machines {
+			if c.now.Steady-c.cameAt(id) < c.awaited(i.Rental.Type) {
 				add(id, i.Rental.Type, i.Rental.Zone, i.Rental.Spot)
 			}
 		}
