Weigh the newest rentals only, so that machines that never come are given up; more polls answered

Repeated polls for one job cost one condition, so only questions that wait too long are turned away.

--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -47,15 +47,16 @@
 const asksPart = 1.0 / 4
 
 // inquire finds out what has become of a job: from memory when it is final, or
-// else from a check that begins after the question. Questions that could not be
-// answered within a second are turned away at once.
+// else from a check that begins after the question. What could not be answered
+// while the user waits is turned away at once. Several questions on one job cost
+// no more than one.
 func (c *Core) inquire(id string, tell func(finding, protocol.JobState)) {
 	if s, ok := c.finals[id]; ok {
 		tell(final, s)
 		return
 	}
 	a := &c.asks
-	if !c.storeOK || float64(len(a.known)+len(a.strange)) > c.asksRate()*float64(c.maxConditions()) {
+	if !c.storeOK || c.overdue(a.known) || c.overdue(a.strange) {
 		tell(untold, protocol.JobState{})
 		return
 	}
@@ -67,6 +68,13 @@
 	}
 }
 
+// overdue tells whether questions wait for longer than their users will, or are
+// more than could be answered by then.
+func (c *Core) overdue(waiting []question) bool {
+	return len(waiting) > 0 && c.now.Steady-waiting[0].at > protocol.PollTimeout/2 ||
+		float64(len(waiting)) > 4*c.asksRate()*float64(c.maxConditions())
+}
+
 // asksRate is this node's number of checks a second.
 func (c *Core) asksRate() float64 {
 	return max(1, asksPart*c.cfg.Params.State.RPS/float64(len(c.roster)))
--- a/internal/core/boots.go
+++ b/internal/core/boots.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,23 +12,26 @@
 // catalogue tells what is usual; there are days on which all take several times
 // as long, or a part of them never comes.
 type boots struct {
-	// took holds the newest boot times by type, typical what follows from them.
-	took    map[string][]time.Duration
+	// took holds how long machines took, typical what follows for each type.
+	took    map[string]time.Duration
 	typical map[string]time.Duration
 	// duds counts the machines of an offer that did not come up since one did.
 	duds map[offerKey]int
 }
 
 const (
-	// bootsKept is how many boot times of a type are remembered.
-	bootsKept = 16
+	// bootsWeighed is how many of the newest rentals of a type are weighed.
+	bootsWeighed = 32
+	// slowest is how many times the usual boot time may become typical. Past it
+	// machines are taken not to come at all.
+	slowest = 4
 	// dudsAllowed is how many machines of an offer may fail to come up in a row
 	// before the offer is left alone for a while.
 	dudsAllowed = 3
 )
 
 func newBoots() boots {
-	return boots{took: map[string][]time.Duration{}, typical: map[string]time.Duration{}, duds: map[offerKey]int{}}
+	return boots{took: map[string]time.Duration{}, typical: map[string]time.Duration{}, duds: map[offerKey]int{}}
 }
 
 // cameUp notes how long a machine took from its rental to its first report.
@@ -36,34 +40,45 @@
 	if !c.fleet.acting || !rented || at < c.rental.since {
 		return
 	}
-	b := &c.rental.boots
-	kept := append(b.took[r.Type], c.now.Steady-at)
-	b.took[r.Type] = kept[max(0, len(kept)-bootsKept):]
-	delete(b.duds, offerKey{r.Type, r.Zone, r.Spot})
+	c.rental.boots.took[r.Machine] = c.now.Steady - at
+	delete(c.rental.boots.duds, offerKey{r.Type, r.Zone, r.Spot})
 }
 
-// weighBoots takes the median of the newest boot times of each type as typical.
-// Machines that are overdue count with their age: when most of a type are late,
-// the rest will be too.
+// rental is one rented machine: when it was rented, and how long it took to come
+// up or has taken so far.
+type rental struct{ at, took time.Duration }
+
+// weighBoots takes the median over the newest rentals of each type as typical.
+// Machines that are overdue count with their age: when most are late, the rest
+// will be too, and when a few are, the others tell that they hardly come.
 func (c *Core) weighBoots() {
 	b := &c.rental.boots
-	seen := map[string][]time.Duration{}
-	for typ, took := range b.took {
-		seen[typ] = slices.Clone(took)
-	}
+	seen := map[string][]rental{}
 	for id, at := range c.rental.came {
 		l, listed := c.rental.listed[id]
-		if age := c.now.Steady - at; listed && l.State == protocol.Booting && c.machines[id] == nil && age > c.nominalBoot(l.Type) {
-			seen[l.Type] = append(seen[l.Type], age)
+		age := c.now.Steady - at
+		switch took, up := b.took[id]; {
+		case up && c.machines[id] != nil:
+			typ := c.machines[id].Type
+			seen[typ] = append(seen[typ], rental{at, took})
+		case !up && listed && l.State == protocol.Booting && c.machines[id] == nil && age > c.nominalBoot(l.Type):
+			seen[l.Type] = append(seen[l.Type], rental{at, age})
 		}
 	}
 	for typ := range c.types {
-		b.typical[typ] = c.nominalBoot(typ)
-		if all := seen[typ]; len(all) > 0 {
-			slices.Sort(all)
-			b.typical[typ] = max(b.typical[typ], all[len(all)/2])
-		}
+		b.typical[typ] = min(max(c.nominalBoot(typ), median(seen[typ])), slowest*c.nominalBoot(typ))
+	}
+}
+
+// median is the median time of the newest rentals.
+func median(all []rental) time.Duration {
+	if len(all) == 0 {
+		return 0
 	}
+	slices.SortFunc(all, func(a, b rental) int { return cmp.Compare(b.at, a.at) })
+	all = all[:min(len(all), bootsWeighed)]
+	slices.SortFunc(all, func(a, b rental) int { return cmp.Compare(a.took, b.took) })
+	return all[len(all)/2].took
 }
 
 func (c *Core) nominalBoot(typ string) time.Duration { return seconds(c.types[typ].BootS) }
--- a/internal/core/boots_test.go
+++ b/internal/core/boots_test.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// Machines that never come used to outnumber the few boot times remembered, and
+// stayed rented for good.
+func TestMachinesThatNeverComeAreGivenUpHoweverManyTheyAre(t *testing.T) {
+	c := renter(t, 40, 2*(slowest+1)*2*5*time.Second)
+	c.now.Steady += c.silence() + time.Second
+	c.tendListed()
+	if n := len(c.rental.doomed); n != 40 {
+		t.Errorf("%d of 40 machines that never come are given up", n)
+	}
+}
+
 func TestOfferWhoseMachinesNeverComeUpIsLeftAloneForAWhile(t *testing.T) {
 	c := renter(t, 0, 0)
 	l := protocol.ListedMachine{Type: "small", Zone: "z1", Spot: true}
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -41,6 +41,7 @@
 	for id := range c.rental.came {
 		if _, listed := c.rental.listed[id]; !listed && c.marks[id].Gone {
 			delete(c.rental.came, id)
+			delete(c.rental.boots.took, id)
 		}
 	}
 	for id, l := range c.rental.listed {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -33,6 +33,8 @@
 const (
 	ReportTimeout = 4 * time.Second
 	ReportPause   = time.Second
+	// PollTimeout is how long a user waits for the state of a job.
+	PollTimeout = 2 * time.Second
 )
 
 // MaxRental and MaxRelease bound the machines of one request to the cloud.
