--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -69,7 +69,7 @@
 func Plan(demands []Demand, coming []*placement.Host, offers []Offer, limit int) []Order {
 	hosts := slices.Clone(coming)
 	counts := make([]int, len(offers))
-	for _, d := range bySize(demands) {
+	for _, d := range inOrder(demands) {
 		left, picker := d.Tasks, placement.NewPicker(d.Spec, hosts)
 		for left > 0 {
 			h := picker.Next(left, nil)
@@ -111,10 +111,14 @@
 	return n
 }
 
-// bySize puts the largest tasks first, so that small ones fill the gaps.
-func bySize(demands []Demand) []Demand {
+// inOrder puts demand with the strongest right first, since it would have dear
+// machines rented where others took the room that is coming; then the largest
+// tasks, so that small ones fill the gaps.
+func inOrder(demands []Demand) []Demand {
 	out := slices.Clone(demands)
-	slices.SortStableFunc(out, func(a, b Demand) int { return cmp.Compare(b.Spec.Need.CPUs, a.Spec.Need.CPUs) })
+	slices.SortStableFunc(out, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(b.Right, a.Right), cmp.Compare(b.Spec.Need.CPUs, a.Spec.Need.CPUs))
+	})
 	return out
 }
 
