No starts for machines of a silent controller; workers that turn to a new one are asked at once

Cause, by reading and a test: homes bound tasks to the machines of a controller that had fallen silent, the starts were lost, and each waited for a fence; what was lost showed only in the worker's next report.

--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -157,6 +157,11 @@
 			return
 		}
 		w = c.adopt(r)
+		// Starts that the controller before had not delivered are settled by a
+		// report under this term; the next one may be a report interval away.
+		if w.probe = r.Token < w.term && c.ledger.On(r.Machine) != nil; w.probe {
+			c.sched.deliver[r.Machine] = true
+		}
 	}
 	if r.Session != w.session {
 		w.session = r.Session
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -81,8 +81,7 @@
 // then is a machine's silence the machine's own.
 func (c *Core) everyoneHeard() bool {
 	for node := range c.nodes {
-		p := c.peers[node]
-		if p != nil && c.now.Steady-p.seen > c.reportInterval() {
+		if !c.hears(node) {
 			return false
 		}
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -16,6 +16,14 @@
 	due ranks
 }
 
+// hears tells whether a controller has given a sign of life lately, directly or
+// over a third node. Starts for the machines of one that is silent are lost, and
+// its workers need seconds to turn to another.
+func (c *Core) hears(node string) bool {
+	p := c.peers[node]
+	return node == c.cfg.Node || p != nil && c.now.Steady-p.seen < c.reportInterval()
+}
+
 // tell sends a message to a node, this one included.
 func (c *Core) tell(node string, m PeerMsg) {
 	if node == c.cfg.Node {
--- a/internal/core/spread.go
+++ b/internal/core/spread.go
@@ -74,7 +74,7 @@
 // able tells whether a controller is there to take workers.
 func (c *Core) able(node string) bool {
 	p := c.peers[node]
-	return p.connected && p.storeOK && c.now.Steady-p.seen < c.reportInterval() && c.now.Steady >= c.spread.avoid[node].until
+	return p.connected && p.storeOK && c.hears(node) && c.now.Steady >= c.spread.avoid[node].until
 }
 
 // mayReach tells whether workers of a zone are likely to reach a controller. One
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -60,3 +60,58 @@
 		t.Errorf("controllers hear %v workers", heard)
 	}
 }
+
+// Homes went on binding tasks to the machines of a controller that had fallen
+// silent; their starts were lost, and each task waited for a fence.
+func TestMachinesOfASilentControllerGetNoTasksUntilTheyReportElsewhere(t *testing.T) {
+	w := newWorld(t).ready()
+	for range 6 {
+		w.addWorker("z1", false)
+	}
+	accepted(t, w.submit("a", "req-free-1", 20000, ""))
+	w.run(20*time.Second, nil)
+	var lost []string
+	for id := range w.cores["c"].own {
+		lost = append(lost, id)
+	}
+	if len(lost) == 0 {
+		t.Fatal("no worker reports to c")
+	}
+	w.crash("c")
+	for _, id := range lost {
+		w.workers[id].next = w.now + time.Minute
+	}
+	a := w.cores["a"]
+	w.run(a.reportInterval()+time.Second, nil)
+	for _, id := range lost {
+		if m := a.machines[id]; m != nil && a.usable(m) {
+			t.Errorf("%s takes tasks though its controller is silent", id)
+		}
+	}
+}
+
+// A worker that turns to a new controller used to prove what was lost with the
+// old one only by its next report.
+func TestWorkerThatTurnsToANewControllerIsAskedAtOnceWhatRunsOnIt(t *testing.T) {
+	w := newWorld(t).ready()
+	w.addWorker("z1", false)
+	accepted(t, w.submit("a", "req-free-1", 20000, ""))
+	w.run(20*time.Second, nil)
+	w.crash("c")
+	w.expire("c")
+	var probed int
+	for id, f := range w.workers {
+		if nodeNames[f.node%len(nodeNames)] != "c" {
+			continue
+		}
+		a := w.cores["a"]
+		f.node = 0
+		w.report(f)
+		if k := a.own[id]; k != nil && (k.busy || f.Token == k.term) {
+			probed++
+		}
+	}
+	if probed == 0 {
+		t.Error("no worker of c was asked")
+	}
+}
