--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -100,3 +100,33 @@
 		}
 	})
 }
+
+// BenchmarkSwarm is one step while many small jobs wait, for room or for the
+// store's changes.
+func BenchmarkSwarm(b *testing.B) {
+	swarm := func(c *Core, bound bool) {
+		t := c.teams[0]
+		for n := range 800 {
+			j := job.New(job.Spec{ID: fmt.Sprintf("req-9%d", n), Team: t.Name, Tasks: 1, Priority: 3, Need: job.Resources{CPUs: 2.5}, Spot: true}, 64, 0)
+			j.Version = 1
+			c.addJob(t, j)
+			if bound {
+				j.Bind(0, &job.Binding{Machine: c.ids[n%len(c.ids)], Attempt: 1, Term: 1, Session: 1})
+				j.Urgent = true
+			}
+		}
+	}
+	for name, bound := range map[string]bool{"room": false, "changes": true} {
+		b.Run(name, func(b *testing.B) {
+			c := busyCore(240)
+			swarm(c, bound)
+			for b.Loop() {
+				c.now.Steady += time.Nanosecond
+				c.sched.dirty, c.sched.next, c.effects = true, 0, nil
+				c.budget.at, c.budget.level, c.sched.storeAfter = c.now.Steady, 0, 0
+				c.schedule()
+				c.flushAll()
+			}
+		})
+	}
+}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -32,6 +32,8 @@
 	starved []*job.Job
 	// hosts is the room for the list of hosts, used again by each round.
 	hosts []placement.Host
+	// stuck holds what found no room in this round.
+	stuck stuck
 }
 
 func newSchedState() schedState {
@@ -232,7 +234,7 @@
 		return
 	}
 	c.sched.next, c.sched.dirty = c.now.Steady+interval, false
-	c.sched.unplaced, c.sched.starved = nil, nil
+	c.sched.unplaced, c.sched.starved, c.sched.stuck = nil, nil, nil
 	turns, ranked := c.turns()
 	if len(turns) == 0 {
 		return
@@ -363,6 +365,11 @@
 func (c *Core) placeNext(u *turn, hosts []*placement.Host) (job.Resources, bool) {
 	for tier := u.jobs[0].Priority; len(u.jobs) > 0 && u.jobs[0].Priority == tier; {
 		j := u.jobs[0]
+		if c.sched.stuck.holds(j) {
+			c.unplaced(u, j, c.allowance(j))
+			u.jobs = u.jobs[1:]
+			continue
+		}
 		p := c.plan(u, j, hosts)
 		n := 1
 		if j.Kind == job.Gang {
@@ -379,8 +386,9 @@
 				return need, true
 			}
 			if !j.Suspected || !anyHolds(&j.Spec, hosts) {
-				c.unplaced(u, j, p)
+				c.unplaced(u, j, c.left(j, p))
 				placement.Reserve(&j.Spec, hosts)
+				c.sched.stuck.add(j)
 			}
 		}
 		u.jobs = u.jobs[1:]
@@ -398,9 +406,8 @@
 	return withinLimit(u.team, u.used.Plus(need, 1)) && len(p.unstored) < 4*c.cfg.Params.State.TxnOps-4
 }
 
-// unplaced notes demand for the renting of machines, up to the team's limit.
-func (c *Core) unplaced(u *turn, j *job.Job, p *plan) {
-	n := c.left(j, p)
+// unplaced notes demand of n tasks for the renting of machines, up to the team's limit.
+func (c *Core) unplaced(u *turn, j *job.Job, n int) {
 	right := c.rightOf(u, j)
 	used := u.used
 	fit := 0
--- /dev/null
+++ b/internal/core/stuck.go
@@ -0,0 +1,36 @@
+package core
+
+import (
+	"slices"
+
+	"pepperlever/internal/core/job"
+)
+
+// stuck lists the needs that found no room in a round. Room only gets less while
+// a round goes on, so a job that asks for as much or more under the same
+// conditions need not be weighed against every machine again: a swarm of waiting
+// jobs would cost more than all other work.
+type stuck []*job.Spec
+
+// stuckKept bounds the list.
+const stuckKept = 32
+
+// plainArray tells whether all that matters for a place is in the job itself, and
+// not where its other tasks are or have failed.
+func plainArray(j *job.Job) bool {
+	return j.Kind == job.Array && !j.OneZone && !j.Spread && len(j.FailedOn) == 0
+}
+
+func (s *stuck) add(j *job.Job) {
+	if plainArray(j) && len(*s) < stuckKept {
+		*s = append(*s, &j.Spec)
+	}
+}
+
+// holds tells whether a job cannot find room either.
+func (s stuck) holds(j *job.Job) bool {
+	return plainArray(j) && slices.ContainsFunc(s, func(o *job.Spec) bool {
+		return j.Spot == o.Spot && j.Zone == o.Zone && slices.Equal(j.Types, o.Types) &&
+			o.Need.Fits(j.Need) && j.EstimateS+j.SaveS >= o.EstimateS+o.SaveS
+	})
+}
