--- a/internal/core/budget_test.go
+++ b/internal/core/budget_test.go
@@ -88,3 +88,28 @@
 		t.Errorf("a swarm alone has %v of %v changes a second", got, all)
 	}
 }
+
+// Sixty-four reports of hundreds of tasks each made a message longer than a peer
+// takes, so that the stream between them was opened anew without end.
+func TestMessagesOfLongReportsStayShort(t *testing.T) {
+	var all []Observation
+	for n := range 200 {
+		o := Observation{}
+		o.Report.Tasks = make([]protocol.TaskReport, n*5)
+		all = append(all, o)
+	}
+	seen := 0
+	for part := range parts(all) {
+		tasks := 0
+		for _, o := range part {
+			tasks += len(o.Report.Tasks)
+		}
+		if tasks > tasksPerMsg && len(part) > 1 {
+			t.Errorf("%d tasks in %d reports of one message", tasks, len(part))
+		}
+		seen += len(part)
+	}
+	if seen != len(all) {
+		t.Errorf("%d of %d reports are passed on", seen, len(all))
+	}
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -30,6 +30,17 @@
 // bound tells whether a machine has bindings of any team.
 func (c *Core) bound(id string) bool { return c.ledger.On(id) != nil }
 
+// reportBytes is about how long the next report of a machine will be, with the
+// tasks that are bound to it and that it does not report yet.
+func (c *Core) reportBytes(m *worker.Machine) int {
+	on := c.ledger.On(m.Machine)
+	if on == nil {
+		return m.Bytes
+	}
+	unseen := max(0, len(on.Tasks)-(len(m.Tasks)-m.Exits))
+	return m.Bytes + unseen*protocol.TaskBytes("req-000000/00000")
+}
+
 // boundLoad is what is bound to a machine. A task that its worker reports as
 // exited takes no room, even before its home has stored the end.
 func (c *Core) boundLoad(m *worker.Machine) job.Resources {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,7 +1,7 @@
 package core
 
 import (
-	"slices"
+	"iter"
 	"time"
 
 	"pepperlever/internal/core/fairness"
@@ -65,13 +65,34 @@
 			all = append(all, Observation{Node: c.cfg.Node, Term: w.term, Report: m.Report})
 		}
 	}
-	for part := range slices.Chunk(all, observationsPerMsg) {
+	for part := range parts(all) {
 		c.sendPeer(node, PeerMsg{Observations: part})
 	}
 }
 
-// observationsPerMsg bounds the size of one message.
-const observationsPerMsg = 64
+// tasksPerMsg bounds the size of one message: the reports of machines with
+// hundreds of small tasks each would make it longer than a peer takes in one
+// line, and the stream would be opened anew again and again.
+const tasksPerMsg = 1024
+
+// parts splits observations into messages. One report is never split.
+func parts(all []Observation) iter.Seq[[]Observation] {
+	return func(yield func([]Observation) bool) {
+		from, tasks := 0, 0
+		for i, o := range all {
+			n := 8 + len(o.Report.Tasks) // a report without tasks is as long as a few of them
+			if tasks += n; tasks > tasksPerMsg && i > from {
+				if !yield(all[from:i]) {
+					return
+				}
+				from, tasks = i, n
+			}
+		}
+		if from < len(all) {
+			yield(all[from:])
+		}
+	}
+}
 
 // broadcast sends a message to every other controller.
 func (c *Core) broadcast(m PeerMsg) {
@@ -91,7 +112,7 @@
 // gossip passes on what was observed since the last time: one message for many
 // reports costs each controller far less than one for each.
 func (c *Core) gossip() {
-	for part := range slices.Chunk(c.observed, observationsPerMsg) {
+	for part := range parts(c.observed) {
 		c.broadcast(PeerMsg{Observations: part})
 	}
 	c.observed = nil
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
 )
 
 // Host is a machine that can take tasks, with the room that is left on it.
@@ -26,17 +27,31 @@
 	Scale float64
 	// Dear is its price beyond that of the cheapest kind, up to 1.
 	Dear float64
+	// Report is about how many bytes its report will have. A report may not be
+	// longer than a request, so a machine can't take any number of tiny tasks.
+	Report int
 	// Reserved is set while it is kept for a task that needs more room.
 	Reserved bool
 }
 
+// longestReport leaves an eighth of a request for what a report says beside its
+// tasks, and for one that was not foreseen.
+const longestReport = protocol.MaxBody * 7 / 8
+
+// Take puts a task of a job on the host.
+func (h *Host) Take(s *job.Spec) {
+	h.Room = h.Room.Plus(s.Need, -1)
+	h.Empty = false
+	h.Report += protocol.TaskBytes(s.ID) + 6
+}
+
 // Zones counts the tasks of a job that are bound in each zone.
 type Zones map[string]int
 
 // Allowed tells whether one more task of the job may go to a host, given where
 // its other tasks are.
 func Allowed(s *job.Spec, h *Host, zones Zones) bool {
-	if h.Reserved || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
+	if h.Reserved || h.Report > longestReport || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
 		return false
 	}
 	if s.OneZone {
@@ -166,7 +181,7 @@
 			}
 			return nil
 		}
-		h.Room = h.Room.Plus(s.Need, -1)
+		h.Take(s)
 		if zone == "" {
 			counted[h.Zone]++
 		}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
 )
 
 func host(id, zone string, cpus float64) *Host {
@@ -88,3 +89,17 @@
 		t.Error("a drained host is no choice at all")
 	}
 }
+
+// Thousands of tiny tasks on one machine would make its report longer than a
+// request may be, and the machine could not be heard any more.
+func TestMachineTakesNoMoreTasksThanItsReportCanHold(t *testing.T) {
+	s := &job.Spec{ID: "req-000001", Need: job.Resources{CPUs: 0.001}}
+	h := &Host{Size: job.Resources{CPUs: 64}, Room: job.Resources{CPUs: 64}, Lasts: -1}
+	n := 0
+	for p := NewPicker(s, []*Host{h}); p.Next(1, Zones{}) != nil; n++ {
+		h.Take(s)
+	}
+	if n < 300 || n*len(`{"piece":"req-000001/99999","try":99999,"stance":"exited","cause":"done"}`) > protocol.MaxBody {
+		t.Errorf("a machine takes %d tasks", n)
+	}
+}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -137,7 +137,7 @@
 		}
 		h := placement.Host{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Size: k.size,
 			Room: k.size.Plus(c.boundLoad(m), -1), Images: m, Empty: !c.bound(id), Lasts: -1,
-			Penalty: float64(c.faults(m)), Scale: k.scale, Dear: k.dear}
+			Penalty: float64(c.faults(m)), Report: c.reportBytes(m), Scale: k.scale, Dear: k.dear}
 		if m.NoticeAt > 0 {
 			h.Lasts = (m.NoticeAt - c.now.Steady).Seconds()
 		}
@@ -446,8 +446,7 @@
 	if h == nil {
 		return nil
 	}
-	h.Room = h.Room.Plus(j.Need, -1)
-	h.Empty = false
+	h.Take(&j.Spec)
 	p.zones[h.Zone]++
 	return []*placement.Host{h}
 }
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -23,8 +23,10 @@
 	IdleSince time.Duration
 	// FullAt is when it last turned a start down for want of room.
 	FullAt time.Duration
-	// Exits counts the exited tasks in the newest report.
+	// Exits counts the exited tasks in the newest report, Bytes is about how long
+	// its list of tasks is on the wire.
 	Exits  int
+	Bytes  int
 	images map[string]image
 	// Blame counts the failures of each job on it since any task succeeded.
 	Blame map[string]int
@@ -114,11 +116,12 @@
 	if len(tasks) > shortReport {
 		at = make(map[attempt]int, len(tasks))
 	}
-	m.Exits = 0
+	m.Exits, m.Bytes = 0, 0
 	for i, t := range tasks {
 		if _, twice := at[attempt{t.Task, t.Attempt}]; at != nil && !twice {
 			at[attempt{t.Task, t.Attempt}] = i
 		}
+		m.Bytes += protocol.TaskBytes(t.Task)
 		switch t.State {
 		case protocol.Running:
 			since[i] = now
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -122,6 +123,7 @@
 	}
 	lines := bufio.NewScanner(r.Body)
 	lines.Buffer(make([]byte, 16<<10), maxLine)
+	lines.Split(wholeLines)
 	for lines.Scan() {
 		var m core.PeerMsg
 		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
@@ -198,6 +200,15 @@
 	}
 }
 
+// wholeLines splits at line ends. What is left when a peer ends in the middle of
+// a line is no message.
+func wholeLines(data []byte, _ bool) (int, []byte, error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, data[:i], nil
+	}
+	return 0, nil, nil
+}
+
 // write sends queued messages, as many as there are in one piece.
 func (l *link) write(ctx context.Context, out io.Writer, closed <-chan error) error {
 	var buf []byte
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -99,6 +99,9 @@
 	Error string `json:"error"`
 }
 
+// TaskBytes is at most about how long a task's entry in a report is.
+func TaskBytes(task string) int { return len(task) + 80 }
+
 // Exited is the state of a task that has ended; Running is the other one that
 // matters here.
 const Exited = "exited"
