--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -447,7 +447,9 @@
 }
 
 func TestUrgentWorkMayStopNormalWorkButNotTheOtherWayRound(t *testing.T) {
-	c := New(testSettings("a"), settings.DefaultPolicy(), "x")
+	policy := settings.DefaultPolicy()
+	policy.Preemption = true
+	c := New(testSettings("a"), policy, "x")
 	task := func(team string, priority, bound int) *job.Job {
 		j := job.New(job.Spec{ID: fmt.Sprint("req-", team, priority), Team: team, Priority: priority, Tasks: 9,
 			Need: job.Resources{CPUs: 2}}, 64, 0)
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/placement"
@@ -18,29 +19,67 @@
 	loss    float64
 }
 
-// preempt makes room for jobs that found none, where the users' rules allow it:
-// for a higher priority, or for a team within its guarantee at the cost of one
-// above its own. It stops only as little work as it makes room for.
+// preempt makes room for jobs that found none, where the users' rules allow it.
+// Work of the lowest priority always yields: it is for idle time, and its long
+// tasks would hold the large machines that others wait for. Any other is stopped
+// only where the operator asks for it. No more work is lost than room is made for.
 func (c *Core) preempt(hosts []*placement.Host) {
+	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool { return h.Lasts >= 0 || !c.yields(h.ID) })
 	for _, j := range c.sched.starved {
-		patience := c.reportInterval()
-		if j.Kind == job.Gang || c.now.Steady-j.WaitingSince < patience || c.now.Steady-j.PreemptedAt < patience {
+		if j.Kind == job.Gang || c.now.Steady-j.WaitingSince < c.patience(j) || c.now.Steady-j.PreemptedAt < c.patience(j) {
 			continue
 		}
-		best, least := []victim(nil), j.Need.CPUs*j.EstimateS
-		for _, h := range hosts {
-			if m := c.machines[h.ID]; m != nil && h.Lasts < 0 && j.Allows(h.Type, h.Zone, h.Spot) && j.Need.Fits(h.Size) {
-				if out, loss := c.victims(j, h, m); out != nil && loss < least {
-					best, least = out, loss
-				}
+		for range min(c.allowance(j), len(hosts)) {
+			at, best := c.cheapest(j, hosts)
+			if best == nil {
+				break
 			}
-		}
-		for _, v := range best {
 			j.PreemptedAt = c.now.Steady
-			c.log(Info, "task stopped to make room", "task", v.job.TaskID(v.index), "machine", v.binding.Machine, "for", j.ID)
-			c.sendStop(v.job, v.index, v.binding, v.job.SaveS)
+			for _, v := range best {
+				c.log(Debug, "task stopped to make room", "task", v.job.TaskID(v.index), "machine", v.binding.Machine, "for", j.ID)
+				v.binding.StopSent = c.now.Steady
+				c.sendStop(v.job, v.index, v.binding, v.job.SaveS)
+			}
+			hosts = slices.Delete(hosts, at, at+1)
+		}
+	}
+}
+
+// patience is how long a job waits before room is made for it: urgent ones as
+// long as it takes to hear what has ended meanwhile.
+func (c *Core) patience(j *job.Job) time.Duration {
+	if j.Priority < slices.Index(protocol.Priorities, "normal") {
+		return c.reportInterval() / 6
+	}
+	return c.reportInterval()
+}
+
+// yields tells whether anything on a machine may be stopped.
+func (c *Core) yields(machine string) bool {
+	on := c.ledger.On(machine)
+	if on == nil || c.policy.Preemption {
+		return on != nil
+	}
+	for ref := range on.Tasks {
+		if lowest(ref.Job) {
+			return true
 		}
 	}
+	return false
+}
+
+// cheapest finds the host where room for a task of j costs the least work, and
+// what has to be stopped there.
+func (c *Core) cheapest(j *job.Job, hosts []*placement.Host) (at int, best []victim) {
+	least := j.Need.CPUs * j.EstimateS
+	for i, h := range hosts {
+		if m := c.machines[h.ID]; m != nil && j.Allows(h.Type, h.Zone, h.Spot) && j.Need.Fits(h.Size) {
+			if out, loss := c.victims(j, h, m); out != nil && loss < least {
+				at, best, least = i, out, loss
+			}
+		}
+	}
+	return at, best
 }
 
 // victims lists the tasks on a machine that would have to be stopped for one
@@ -53,13 +92,15 @@
 		if v == nil || t.State != protocol.Running || v.Kind != job.Array || !c.mayStop(j, v) {
 			continue
 		}
-		if b := v.Bound[i]; b != nil && b.Attempt == t.Attempt && !b.Stopping {
-			loss := v.Need.CPUs * m.Ran(t.Task, t.Attempt, c.now.Steady).Seconds()
-			if v.CheckpointS > 0 {
-				loss = v.Need.CPUs * v.SaveS
-			}
-			all = append(all, victim{v, i, b, loss})
+		b := v.Bound[i]
+		if b == nil || b.Attempt != t.Attempt || b.Stopping || b.StopSent > 0 && c.now.Steady-b.StopSent < c.reportInterval() {
+			continue
+		}
+		loss := v.Need.CPUs * m.Ran(t.Task, t.Attempt, c.now.Steady).Seconds()
+		if v.CheckpointS > 0 {
+			loss = v.Need.CPUs * v.SaveS
 		}
+		all = append(all, victim{v, i, b, loss})
 	}
 	slices.SortFunc(all, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
 	room, sum := h.Room, 0.0
@@ -72,10 +113,13 @@
 	return nil, 0
 }
 
-// mayStop is the users' rule on preemption.
+// mayStop is the users' rule on preemption, within what the operator allows.
 func (c *Core) mayStop(j, v *job.Job) bool {
-	if v.Priority > j.Priority {
-		return true
+	switch {
+	case v.Priority > j.Priority:
+		return c.policy.Preemption || lowest(v)
+	case !c.policy.Preemption:
+		return false
 	}
 	mine, theirs := c.teamBy[j.Team], c.teamBy[v.Team]
 	return mine != theirs && c.used(mine).CPUs+j.Need.CPUs <= mine.CPUs && c.used(theirs).CPUs > theirs.CPUs
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -242,7 +242,7 @@
 	hosts := c.hosts()
 	placement.Drain(hosts, c.policy.Spare)
 	c.place(turns, ranked, placement.Open(hosts))
-	if c.policy.Preemption {
+	if len(c.sched.starved) > 0 {
 		c.preempt(hosts)
 	}
 }
