--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -193,7 +193,7 @@
 	if p := u.plans[j.ID]; p != nil {
 		return p
 	}
-	p := &plan{zones: placement.Zones{}, unstored: map[string]bool{}, picker: placement.NewPicker(&j.Spec, unfailed(j, hosts))}
+	p := &plan{zones: placement.Zones{}, unstored: map[string]bool{}, picker: placement.NewPicker(&j.Spec, c.meantFor(u, j, unfailed(j, hosts)))}
 	u.plans[j.ID] = p
 	for _, b := range j.Bound {
 		if m := c.machines[b.Machine]; m != nil {
@@ -221,6 +221,18 @@
 	return others
 }
 
+// meantFor leaves ordinary machines out for work in idle time that may use spot
+// ones: it would keep them from emptying, at several times the price.
+func (c *Core) meantFor(u *turn, j *job.Job, hosts []*placement.Host) []*placement.Host {
+	if !j.Spot || !c.policy.Spot || c.rightOf(u, j) != fleet.Idle {
+		return hosts
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool {
+		t := c.types[h.Type]
+		return !h.Spot && t.SpotPrice < t.Price
+	})
+}
+
 // schedule places waiting tasks. The plan covers the teams of all controllers
 // in the order of the ranking; this node binds those of its own teams and
 // leaves the room of the others to their homes.
