--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -32,8 +32,10 @@
 	starved []*job.Job
 	// hosts is the room for the list of hosts, used again by each round.
 	hosts []placement.Host
-	// stuck holds what found no room in this round.
+	// stuck holds what found no room in this round, cheap the hosts for work in
+	// idle time.
 	stuck stuck
+	cheap []*placement.Host
 }
 
 func newSchedState() schedState {
@@ -193,7 +195,7 @@
 	if p := u.plans[j.ID]; p != nil {
 		return p
 	}
-	p := &plan{zones: placement.Zones{}, unstored: map[string]bool{}, picker: placement.NewPicker(&j.Spec, c.meantFor(u, j, unfailed(j, hosts)))}
+	p := &plan{zones: placement.Zones{}, unstored: map[string]bool{}, picker: placement.NewPicker(&j.Spec, unfailed(j, c.meantFor(u, j, hosts)))}
 	u.plans[j.ID] = p
 	for _, b := range j.Bound {
 		if m := c.machines[b.Machine]; m != nil {
@@ -224,13 +226,21 @@
 // meantFor leaves ordinary machines out for work in idle time that may use spot
 // ones: it would keep them from emptying, at several times the price.
 func (c *Core) meantFor(u *turn, j *job.Job, hosts []*placement.Host) []*placement.Host {
-	if !j.Spot || !c.policy.Spot || c.rightOf(u, j) != fleet.Idle {
+	if !c.cheapOnly(u, j) {
 		return hosts
 	}
-	return slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool {
-		t := c.types[h.Type]
-		return !h.Spot && t.SpotPrice < t.Price
-	})
+	if c.sched.cheap == nil {
+		c.sched.cheap = slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool {
+			t := c.types[h.Type]
+			return !h.Spot && t.SpotPrice < t.Price
+		})
+	}
+	return c.sched.cheap
+}
+
+// cheapOnly tells whether a job is kept off machines that have cheaper spot ones.
+func (c *Core) cheapOnly(u *turn, j *job.Job) bool {
+	return j.Spot && c.policy.Spot && c.rightOf(u, j) == fleet.Idle
 }
 
 // schedule places waiting tasks. The plan covers the teams of all controllers
@@ -246,7 +256,7 @@
 		return
 	}
 	c.sched.next, c.sched.dirty = c.now.Steady+interval, false
-	c.sched.unplaced, c.sched.starved, c.sched.stuck = nil, nil, nil
+	c.sched.unplaced, c.sched.starved, c.sched.stuck, c.sched.cheap = nil, nil, nil, nil
 	turns, ranked := c.turns()
 	if len(turns) == 0 {
 		return
@@ -377,7 +387,7 @@
 func (c *Core) placeNext(u *turn, hosts []*placement.Host) (job.Resources, bool) {
 	for tier := u.jobs[0].Priority; len(u.jobs) > 0 && u.jobs[0].Priority == tier; {
 		j := u.jobs[0]
-		if c.sched.stuck.holds(j) {
+		if c.sched.stuck.holds(j, c.cheapOnly(u, j)) {
 			c.unplaced(u, j, c.allowance(j))
 			u.jobs = u.jobs[1:]
 			continue
@@ -400,7 +410,7 @@
 			if !j.Suspected || !anyHolds(&j.Spec, hosts) {
 				c.unplaced(u, j, c.left(j, p))
 				placement.Reserve(&j.Spec, hosts)
-				c.sched.stuck.add(j)
+				c.sched.stuck.add(j, c.cheapOnly(u, j))
 			}
 		}
 		u.jobs = u.jobs[1:]
--- a/internal/core/stuck.go
+++ b/internal/core/stuck.go
@@ -10,7 +10,13 @@
 // a round goes on, so a job that asks for as much or more under the same
 // conditions need not be weighed against every machine again: a swarm of waiting
 // jobs would cost more than all other work.
-type stuck []*job.Spec
+type stuck []need
+
+// need is what found no room; cheap when dear machines were not tried.
+type need struct {
+	*job.Spec
+	cheap bool
+}
 
 // stuckKept bounds the list.
 const stuckKept = 32
@@ -21,16 +27,16 @@
 	return j.Kind == job.Array && !j.OneZone && !j.Spread && len(j.FailedOn) == 0
 }
 
-func (s *stuck) add(j *job.Job) {
+func (s *stuck) add(j *job.Job, cheap bool) {
 	if plainArray(j) && len(*s) < stuckKept {
-		*s = append(*s, &j.Spec)
+		*s = append(*s, need{&j.Spec, cheap})
 	}
 }
 
 // holds tells whether a job cannot find room either.
-func (s stuck) holds(j *job.Job) bool {
-	return plainArray(j) && slices.ContainsFunc(s, func(o *job.Spec) bool {
-		return j.Spot == o.Spot && j.Zone == o.Zone && slices.Equal(j.Types, o.Types) &&
+func (s stuck) holds(j *job.Job, cheap bool) bool {
+	return plainArray(j) && slices.ContainsFunc(s, func(o need) bool {
+		return (cheap || !o.cheap) && j.Spot == o.Spot && j.Zone == o.Zone && slices.Equal(j.Types, o.Types) &&
 			o.Need.Fits(j.Need) && j.EstimateS+j.SaveS >= o.EstimateS+o.SaveS
 	})
 }
--- a/internal/core/stuck_test.go
+++ b/internal/core/stuck_test.go
@@ -9,7 +9,10 @@
 func TestOnlyJobsThatAskForAsMuchAreTakenToFindNoRoomEither(t *testing.T) {
 	base := job.Spec{Need: job.Resources{CPUs: 2, MemoryGB: 4}, Spot: true, EstimateS: 10}
 	var s stuck
-	s.add(&job.Job{Spec: base})
+	s.add(&job.Job{Spec: base}, false)
+	if (stuck{{&base, true}}).holds(&job.Job{Spec: base}, false) {
+		t.Error("dear machines were not tried, but count as full")
+	}
 	for name, k := range map[string]struct {
 		change func(*job.Job)
 		want   bool
@@ -25,7 +28,7 @@
 	} {
 		j := &job.Job{Spec: base}
 		k.change(j)
-		if got := s.holds(j); got != k.want {
+		if got := s.holds(j, false); got != k.want {
 			t.Errorf("%s: got %v", name, got)
 		}
 	}
