--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -65,12 +65,18 @@
 }
 
 // Plan covers demand with the machines that are already coming and then with
-// the cheapest offers. Every offer in offers may be ordered up to limit times.
-func Plan(demands []Demand, coming []*placement.Host, offers []Offer, limit int) []Order {
+// the cheapest offers. Demand that is not idle may also have the room on yielding
+// hosts, where idle work is stopped for it. Every offer in offers may be ordered
+// up to limit times.
+func Plan(demands []Demand, coming, yielding []*placement.Host, offers []Offer, limit int) []Order {
 	hosts := slices.Clone(coming)
 	counts := make([]int, len(offers))
 	for _, d := range inOrder(demands) {
-		left, picker := d.Tasks, placement.NewPicker(d.Spec, hosts)
+		room := hosts
+		if d.Right > Idle {
+			room = append(slices.Clip(hosts), yielding...)
+		}
+		left, picker := d.Tasks, placement.NewPicker(d.Spec, room)
 		for left > 0 {
 			h := picker.Next(left, nil)
 			if h == nil {
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -30,7 +30,7 @@
 		"large task":    {demand(16, 2, true), "large", true, 1},
 		"large no spot": {demand(16, 3, false), "large", false, 2},
 	} {
-		got := Plan([]Demand{c.demand}, nil, offers(), 9)
+		got := Plan([]Demand{c.demand}, nil, nil, offers(), 9)
 		if len(got) != 1 || got[0].Offer.Type.Name != c.typ || got[0].Offer.Spot != c.spot || got[0].Count != c.count {
 			t.Errorf("%s: got %+v", name, got)
 		}
@@ -40,7 +40,7 @@
 func TestMachinesOnTheirWayAreNotRentedAgain(t *testing.T) {
 	room := job.Resources{CPUs: 32, MemoryGB: 128}
 	coming := []*placement.Host{{Type: "large", Zone: "a", Spot: true, Room: room, Size: room, Lasts: -1}}
-	if got := Plan([]Demand{demand(16, 2, true)}, coming, offers(), 9); len(got) != 0 {
+	if got := Plan([]Demand{demand(16, 2, true)}, coming, nil, offers(), 9); len(got) != 0 {
 		t.Errorf("got %+v", got)
 	}
 }
@@ -60,14 +60,28 @@
 		"would be late":    {pressed, 1},
 		"may not use spot": {demand(2, 2, false), 1},
 	} {
-		if got := Plan([]Demand{c.demand}, nil, dear, 9); len(got) != c.orders {
+		if got := Plan([]Demand{c.demand}, nil, nil, dear, 9); len(got) != c.orders {
 			t.Errorf("%s: got %+v", name, got)
 		}
 	}
 }
 
 func TestNothingIsRentedThatCannotHelp(t *testing.T) {
-	if got := Plan([]Demand{demand(64, 1, true)}, nil, offers(), 9); len(got) != 0 {
+	if got := Plan([]Demand{demand(64, 1, true)}, nil, nil, offers(), 9); len(got) != 0 {
 		t.Errorf("got %+v", got)
 	}
 }
+
+// Machines used to be rented for work that had idle work stopped at the same
+// moment: hundreds came, found nothing to do and went back.
+func TestRoomOfIdleWorkIsNotRentedAgainForOtherWork(t *testing.T) {
+	yielding := []*placement.Host{{Type: "large", Zone: "a", Spot: true, Lasts: -1,
+		Size: job.Resources{CPUs: 64, MemoryGB: 256}, Room: job.Resources{CPUs: 64, MemoryGB: 256}}}
+	d := demand(16, 2, true)
+	for right, want := range map[Right]int{Idle: 1, Plain: 0, Pressed: 0} {
+		d.Right = right
+		if got := Plan([]Demand{d}, nil, yielding, offers(), 9); len(got) != want {
+			t.Errorf("right %d: %d orders, want %d", right, len(got), want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/idle.go
@@ -0,0 +1,82 @@
+package core
+
+import (
+	"math"
+	"slices"
+
+	"pepperlever/internal/core/fleet"
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/placement"
+	"pepperlever/internal/protocol"
+)
+
+// lowest tells whether a job is of the lowest priority: it is done in idle time,
+// and what it asks for must not make the fleet dear.
+func lowest(j *job.Job) bool {
+	return j.Priority == len(protocol.Priorities)-1 && j.DeadlineS == 0
+}
+
+// idlePatience is for how many leases work for idle time waits without any room
+// before it counts as other work does.
+const idlePatience = 10
+
+// worth is how many machines' room at most a job of the lowest priority is worth
+// renting: as many as end it within a few boots, not a place for each of
+// thousands of short tasks.
+func (c *Core) worth(j *job.Job, tasks int) int {
+	boot := 0.0
+	for _, t := range c.types {
+		boot = max(boot, t.BootS)
+	}
+	places := math.Ceil(float64(j.Waiting()) * j.EstimateS / max(idleBoots*boot, 1))
+	return max(0, min(tasks, int(places)-len(j.Bound)))
+}
+
+// idleBoots is within how many boots of a machine work for idle time should end.
+const idleBoots = 6
+
+// meantFor leaves ordinary machines out for work in idle time that may use spot
+// ones: it would keep them from emptying, at several times the price. Short tasks
+// may fill the gaps beside other work.
+func (c *Core) meantFor(u *turn, j *job.Job, hosts []*placement.Host) []*placement.Host {
+	if !c.cheapOnly(u, j) {
+		return hosts
+	}
+	short := j.EstimateS <= c.quickestBoot()
+	if c.sched.cheap[short] == nil {
+		if c.sched.cheap == nil {
+			c.sched.cheap = map[bool][]*placement.Host{}
+		}
+		c.sched.cheap[short] = slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool {
+			t := c.types[h.Type]
+			return !h.Spot && t.SpotPrice < t.Price && !(short && c.busyOtherwise(h.ID))
+		})
+	}
+	return c.sched.cheap[short]
+}
+
+// busyOtherwise tells whether work that is not for idle time is on a machine.
+func (c *Core) busyOtherwise(machine string) bool {
+	if on := c.ledger.On(machine); on != nil {
+		for ref := range on.Tasks {
+			if !lowest(ref.Job) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// quickestBoot is the shortest nominal boot time of any type, in seconds.
+func (c *Core) quickestBoot() float64 {
+	boot := math.Inf(1)
+	for _, t := range c.types {
+		boot = min(boot, t.BootS)
+	}
+	return boot
+}
+
+// cheapOnly tells whether a job is kept off machines that have cheaper spot ones.
+func (c *Core) cheapOnly(u *turn, j *job.Job) bool {
+	return j.Spot && c.policy.Spot && c.rightOf(u, j) == fleet.Idle
+}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -68,6 +68,31 @@
 	return false
 }
 
+// yielding lists the machines with work for idle time, with the room there would
+// be without it. Other work takes that room; machines rented for it would stand
+// idle when they come.
+func (c *Core) yielding() []*placement.Host {
+	var out []*placement.Host
+	for id, m := range c.machines {
+		on := c.ledger.On(id)
+		if on == nil || m.NoticeAt > 0 || !c.usable(m) {
+			continue
+		}
+		idle := job.Resources{}
+		for ref := range on.Tasks {
+			if lowest(ref.Job) {
+				idle = idle.Plus(ref.Job.Need, 1)
+			}
+		}
+		if idle.CPUs > 0 {
+			size := capacity(c.types[m.Type])
+			out = append(out, &placement.Host{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Size: size, Lasts: -1,
+				Room: size.Plus(c.boundLoad(m), -1).Plus(idle, 1)})
+		}
+	}
+	return out
+}
+
 // cheapest finds the host where room for a task of j costs the least work, and
 // what has to be stopped there.
 func (c *Core) cheapest(j *job.Job, hosts []*placement.Host) (at int, best []victim) {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -189,7 +189,7 @@
 		return
 	}
 	coming := c.coming()
-	orders := fleet.Plan(c.sched.unplaced, coming, c.offers(c.backlog(coming)), protocol.MaxRental)
+	orders := fleet.Plan(c.sched.unplaced, coming, c.yielding(), c.offers(c.backlog(coming)), protocol.MaxRental)
 	for _, o := range orders[:min(len(orders), int(c.cfg.Params.Cloud.RPS))] {
 		c.rent(o)
 	}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -33,9 +33,9 @@
 	// hosts is the room for the list of hosts, used again by each round.
 	hosts []placement.Host
 	// stuck holds what found no room in this round, cheap the hosts for work in
-	// idle time.
+	// idle time, short or not.
 	stuck stuck
-	cheap []*placement.Host
+	cheap map[bool][]*placement.Host
 }
 
 func newSchedState() schedState {
@@ -223,26 +223,6 @@
 	return others
 }
 
-// meantFor leaves ordinary machines out for work in idle time that may use spot
-// ones: it would keep them from emptying, at several times the price.
-func (c *Core) meantFor(u *turn, j *job.Job, hosts []*placement.Host) []*placement.Host {
-	if !c.cheapOnly(u, j) {
-		return hosts
-	}
-	if c.sched.cheap == nil {
-		c.sched.cheap = slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool {
-			t := c.types[h.Type]
-			return !h.Spot && t.SpotPrice < t.Price
-		})
-	}
-	return c.sched.cheap
-}
-
-// cheapOnly tells whether a job is kept off machines that have cheaper spot ones.
-func (c *Core) cheapOnly(u *turn, j *job.Job) bool {
-	return j.Spot && c.policy.Spot && c.rightOf(u, j) == fleet.Idle
-}
-
 // schedule places waiting tasks. The plan covers the teams of all controllers
 // in the order of the ranking; this node binds those of its own teams and
 // leaves the room of the others to their homes.
@@ -311,7 +291,7 @@
 // strongest once half of its slack has gone by.
 func (c *Core) rightOf(u *turn, j *job.Job) fleet.Right {
 	switch {
-	case lowest(j) && c.now.Steady-j.WaitingSince < patience*seconds(c.cfg.Params.Workers.LeaseS):
+	case lowest(j) && c.now.Steady-j.WaitingSince < idlePatience*seconds(c.cfg.Params.Workers.LeaseS):
 		return fleet.Idle
 	case c.now.Wall-j.Accepted > slack(j)/2:
 		return fleet.Pressed
@@ -321,31 +301,6 @@
 	return fleet.Plain
 }
 
-// lowest tells whether a job is of the lowest priority: it is done in idle time,
-// and what it asks for must not make the fleet dear.
-func lowest(j *job.Job) bool {
-	return j.Priority == len(protocol.Priorities)-1 && j.DeadlineS == 0
-}
-
-// patience is for how many leases work for idle time waits without any room
-// before it counts as other work does.
-const patience = 10
-
-// worth is how many machines' room at most a job of the lowest priority is worth
-// renting: as many as end it within a few boots, not a place for each of
-// thousands of short tasks.
-func (c *Core) worth(j *job.Job, tasks int) int {
-	boot := 0.0
-	for _, t := range c.types {
-		boot = max(boot, t.BootS)
-	}
-	places := math.Ceil(float64(j.Waiting()) * j.EstimateS / max(idleBoots*boot, 1))
-	return max(0, min(tasks, int(places)-len(j.Bound)))
-}
-
-// idleBoots is within how many boots of a machine work for idle time should end.
-const idleBoots = 6
-
 // place runs a round: the ranking picks a team, the team's first job that fits
 // gets a place, and so on until no team has anything that fits.
 func (c *Core) place(turns []*turn, ranked []fairness.Team, hosts []*placement.Host) {
