--- /dev/null
+++ b/internal/core/flood_test.go
@@ -0,0 +1,76 @@
+package core
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"pepperlever/internal/protocol"
+)
+
+// together sends requests to a node in one step and plays until all are answered.
+func (w *world) together(node string, n int, command func(i int, req uint64) Command) map[int]int {
+	w.t.Helper()
+	first := w.nextReq + 1
+	for i := range n {
+		w.nextReq++
+		w.send(node, command(i, w.nextReq))
+	}
+	w.nextReq += 1 << 20 // the workers' requests come after
+	got := map[int]int{}
+	w.run(10*time.Second, func() bool {
+		for i := range n {
+			if a, ok := w.answers[first+uint64(i)]; ok {
+				got[i] = a.Status
+			}
+		}
+		return len(got) == n
+	})
+	return got
+}
+
+func TestSwarmSubmittedAtOnceIsAnsweredAndCancelledAtOnceIsGone(t *testing.T) {
+	const swarm = 300
+	w := newWorld(t).ready()
+	w.racing = true
+	id := func(i int) string { return fmt.Sprintf("req-free-%d", i) }
+	taken := w.together("a", swarm, func(i int, req uint64) Command {
+		return Submit{Req: req, Body: []byte(submission(id(i), "free", 1, ""))}
+	})
+	for i := range swarm {
+		if taken[i] != http.StatusCreated && taken[i] != http.StatusServiceUnavailable {
+			t.Fatalf("submission %d got %d", i, taken[i])
+		}
+	}
+	w.run(4*time.Second, nil)
+	gone := w.together("b", swarm, func(i int, req uint64) Command { return Cancel{Req: req, ID: id(i)} })
+	for i := range swarm {
+		if taken[i] == http.StatusCreated && gone[i] != http.StatusOK && gone[i] != http.StatusServiceUnavailable {
+			t.Errorf("cancellation %d got %d", i, gone[i])
+		}
+	}
+	w.run(20*time.Second, nil)
+	for i := range swarm {
+		if s, _ := w.state(id(i)); s.State == protocol.Cancelled && w.onMachines(id(i)) > 0 {
+			t.Errorf("%s is cancelled and on a machine", id(i))
+		}
+	}
+}
+
+// The cloud's list lags: a machine may report while it is listed as booting, or
+// not listed at all.
+func TestMachineThatReportsWhileItIsListedAsBootingIsUsedAndKept(t *testing.T) {
+	c := renter(t, 1, 10*time.Minute)
+	c.comesUp("vm-9000")
+	c.comesUp("vm-unheard-of")
+	c.tendListed()
+	for _, id := range []string{"vm-9000", "vm-unheard-of"} {
+		if why := c.rental.doomed[id]; why != "" {
+			t.Errorf("%s is given up: %s", id, why)
+		}
+		if m := c.machines[id]; m == nil || !c.usable(m) {
+			t.Errorf("%s is not used", id)
+		}
+	}
+}
