--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -20,7 +20,7 @@
 // before it counts as other work does.
 const idlePatience = 10
 
-// worth is how many machines' room at most a job of the lowest priority is worth
+// worth is for how many tasks of a job of the lowest priority room is worth
 // renting: as many as end it within a few boots, not a place for each of
 // thousands of short tasks.
 func (c *Core) worth(j *job.Job, tasks int) int {
@@ -49,24 +49,12 @@
 		}
 		c.sched.cheap[short] = slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool {
 			t := c.types[h.Type]
-			return !h.Spot && t.SpotPrice < t.Price && !(short && c.busyOtherwise(h.ID))
+			return !h.Spot && t.SpotPrice < t.Price && !(short && c.anyOn(h.ID, func(j *job.Job) bool { return !lowest(j) }))
 		})
 	}
 	return c.sched.cheap[short]
 }
 
-// busyOtherwise tells whether work that is not for idle time is on a machine.
-func (c *Core) busyOtherwise(machine string) bool {
-	if on := c.ledger.On(machine); on != nil {
-		for ref := range on.Tasks {
-			if !lowest(ref.Job) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // quickestBoot is the shortest nominal boot time of any type, in seconds.
 func (c *Core) quickestBoot() float64 {
 	boot := math.Inf(1)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -30,6 +30,18 @@
 // bound tells whether a machine has bindings of any team.
 func (c *Core) bound(id string) bool { return c.ledger.On(id) != nil }
 
+// anyOn tells whether a machine has a binding of a job for which is holds.
+func (c *Core) anyOn(machine string, is func(*job.Job) bool) bool {
+	if on := c.ledger.On(machine); on != nil {
+		for ref := range on.Tasks {
+			if is(ref.Job) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // reportBytes is about how long the next report of a machine will be, with the
 // tasks that are bound to it and that it does not report yet.
 func (c *Core) reportBytes(m *worker.Machine) int {
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -256,7 +256,7 @@
 // NodeBeat is a controller's sign of life with its records of its teams.
 type NodeBeat struct {
 	StoreOK bool `json:"s"`
-	// Due is how many changes of jobs wait to be stored, by rank. by rank.
+	// Due is how many changes of jobs wait to be stored, by rank.
 	Due     ranks                      `json:"d"`
 	Records map[string]fairness.Record `json:"r,omitempty"`
 	// Heard names the machines that this node has heard since its last beat.
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -56,16 +56,7 @@
 
 // yields tells whether anything on a machine may be stopped.
 func (c *Core) yields(machine string) bool {
-	on := c.ledger.On(machine)
-	if on == nil || c.policy.Preemption {
-		return on != nil
-	}
-	for ref := range on.Tasks {
-		if lowest(ref.Job) {
-			return true
-		}
-	}
-	return false
+	return c.anyOn(machine, func(j *job.Job) bool { return c.policy.Preemption || lowest(j) })
 }
 
 // yielding lists the machines with work for idle time, with the room there would
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -380,7 +380,7 @@
 	if j.Kind == job.Gang && len(j.Bound) > 0 {
 		return false // the old attempt has to be gone first
 	}
-	return withinLimit(u.team, u.used.Plus(need, 1)) && len(p.unstored) < 4*c.cfg.Params.State.TxnOps-4
+	return withinLimit(u.team, u.used.Plus(need, 1)) && len(p.unstored) < c.maxConditions()-4
 }
 
 // unplaced notes demand of n tasks for the renting of machines, up to the team's limit.
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -6,16 +6,23 @@
 	"time"
 )
 
-// A controller that is cut off from the workers alone hears none and so looked
-// like the one to send them to: each sent one failed to reach it, came back and
-// was sent again, 500 times a minute on a recorded day.
-func TestWorkersAreNotSentAgainAndAgainToAControllerThatTheyCannotReach(t *testing.T) {
+// busyWorld has that many workers and more, and work for all of them for long.
+func busyWorld(t *testing.T, workers int) *world {
+	t.Helper()
 	w := newWorld(t).ready()
-	for range 12 {
+	for range workers {
 		w.addWorker("z1", false)
 	}
 	accepted(t, w.submit("a", "req-free-1", 20000, ""))
 	w.run(20*time.Second, nil)
+	return w
+}
+
+// A controller that is cut off from the workers alone hears none and so looked
+// like the one to send them to: each sent one failed to reach it, came back and
+// was sent again, 500 times a minute on a recorded day.
+func TestWorkersAreNotSentAgainAndAgainToAControllerThatTheyCannotReach(t *testing.T) {
+	w := busyWorld(t, 12)
 	w.deaf["c"] = true
 	w.run(20*time.Second, nil)
 	before := w.redirected["c"]
@@ -31,12 +38,8 @@
 }
 
 func TestWorkersDoNotGoToAndFroBetweenControllers(t *testing.T) {
-	w := newWorld(t).ready()
-	for range 30 {
-		w.addWorker("z1", false)
-	}
-	accepted(t, w.submit("a", "req-free-1", 20000, ""))
-	w.run(40*time.Second, nil)
+	w := busyWorld(t, 30)
+	w.run(20*time.Second, nil)
 	w.crash("b")
 	w.expire("b")
 	w.run(20*time.Second, nil)
@@ -64,12 +67,7 @@
 // Homes went on binding tasks to the machines of a controller that had fallen
 // silent; their starts were lost, and each task waited for a fence.
 func TestMachinesOfASilentControllerGetNoTasksUntilTheyReportElsewhere(t *testing.T) {
-	w := newWorld(t).ready()
-	for range 6 {
-		w.addWorker("z1", false)
-	}
-	accepted(t, w.submit("a", "req-free-1", 20000, ""))
-	w.run(20*time.Second, nil)
+	w := busyWorld(t, 6)
 	var lost []string
 	for id := range w.cores["c"].own {
 		lost = append(lost, id)
@@ -93,10 +91,7 @@
 // A worker that turns to a new controller used to prove what was lost with the
 // old one only by its next report.
 func TestWorkerThatTurnsToANewControllerIsAskedAtOnceWhatRunsOnIt(t *testing.T) {
-	w := newWorld(t).ready()
-	w.addWorker("z1", false)
-	accepted(t, w.submit("a", "req-free-1", 20000, ""))
-	w.run(20*time.Second, nil)
+	w := busyWorld(t, 1)
 	w.crash("c")
 	w.expire("c")
 	var probed int
