--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -74,31 +74,41 @@
 	}, func() {})
 }
 
-// List reads the list of machines, page by page.
+// List reads the list of machines, page by page. A list that breaks off is not
+// passed on: a machine that is missing from it would be taken for gone.
 func (c *Cloud) List() {
 	c.enqueue(func() {
-		var all []protocol.ListedMachine
-		after := ""
-		for {
-			args := []string{protocol.ArgLimit, pageSize}
-			if after != "" {
-				args = append(args, protocol.ArgAfter, after)
-			}
-			var page protocol.MachineList
-			status, err := c.call(fasthttp.MethodGet, httpc.Query(protocol.PathMachines, args...), nil, &page)
-			if err != nil || status != fasthttp.StatusOK {
-				return
-			}
-			all = append(all, page.Machines...)
-			if !page.More || len(page.Machines) == 0 {
-				break
-			}
-			after = page.Machines[len(page.Machines)-1].ID
+		if all, whole := c.pages(); whole {
+			c.emit(core.ListIn{Machines: all})
 		}
-		c.emit(core.ListIn{Machines: all})
 	}, func() {})
 }
 
+// pages reads all pages, and tells whether they reach the end of the list. Pages
+// that do not go on where the one before ended would be read for ever.
+func (c *Cloud) pages() (all []protocol.ListedMachine, whole bool) {
+	after := ""
+	for {
+		args := []string{protocol.ArgLimit, pageSize}
+		if after != "" {
+			args = append(args, protocol.ArgAfter, after)
+		}
+		var page protocol.MachineList
+		status, err := c.call(fasthttp.MethodGet, httpc.Query(protocol.PathMachines, args...), nil, &page)
+		if err != nil || status != fasthttp.StatusOK {
+			return nil, false
+		}
+		all = append(all, page.Machines...)
+		if !page.More {
+			return all, true
+		}
+		if len(page.Machines) == 0 || page.Machines[len(page.Machines)-1].ID <= after {
+			return nil, false
+		}
+		after = page.Machines[len(page.Machines)-1].ID
+	}
+}
+
 // Rent asks for machines. An answer that is not clear is Unknown: the same
 // request may safely be repeated under its name.
 func (c *Cloud) Rent(r protocol.Rental) {
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 )
 
 // fleetSizes are what the costs of one step are compared at.
-var fleetSizes = []int{100, 1400}
+var fleetSizes = []int{100, 1400, 2800}
 
 // busyCore is a controller that is home of every team, with one running task on
 // each machine and one job to every ten.
@@ -130,3 +131,73 @@
 		})
 	}
 }
+
+// BenchmarkReload is the whole stored state read again, as after a start or when
+// the state service no longer has the changes that were missed: a tenth as many
+// jobs as machines, and as many marks of returned machines as jobs.
+func BenchmarkReload(b *testing.B) {
+	benchSizes(b, func(b *testing.B, c *Core, machines int) {
+		l := Loaded{Revision: 2}
+		for id, j := range c.jobs {
+			l.Items = append(l.Items, protocol.KeyValue{Key: activeKey(id), Value: j.Head(), Version: 2})
+		}
+		for n := range machines / 10 {
+			l.Items = append(l.Items, protocol.KeyValue{Key: fmt.Sprintf("%svm-9%05d", keyMark, n), Value: raw(mark{Gone: true}), Version: 2})
+		}
+		for b.Loop() {
+			fresh := New(c.cfg, settings.DefaultPolicy(), "y")
+			fresh.handle(l)
+			if len(fresh.jobs) != len(c.jobs) {
+				b.Fatalf("%d of %d jobs read", len(fresh.jobs), len(c.jobs))
+			}
+		}
+	})
+}
+
+// BenchmarkHugeArray is one round with an array of 100,000 tasks in front of a
+// fleet half empty. A round binds as many machines as one write may have
+// conditions on, so its time grows with the fleet and not with the array.
+func BenchmarkHugeArray(b *testing.B) {
+	benchSizes(b, func(b *testing.B, c *Core, _ int) {
+		s := job.Spec{ID: "req-9", Team: c.teams[0].Name, Tasks: job.MaxTasks, Need: job.Resources{CPUs: 1}, Spot: true, EstimateS: 10}
+		for b.Loop() {
+			b.StopTimer()
+			j := job.New(s, c.chunkSize(), 0)
+			j.Version = 1
+			c.addJob(c.teams[0], j)
+			c.now.Steady += time.Nanosecond
+			c.sched.dirty, c.sched.next, c.effects, c.claims = true, 0, nil, nil
+			b.StartTimer()
+			c.schedule()
+			b.StopTimer()
+			if len(j.Bound) == 0 {
+				b.Fatal("no task found a place")
+			}
+			c.forgetJob(j)
+			b.StartTimer()
+		}
+	})
+}
+
+// BenchmarkLongReport is a report as long as a request may be: a machine full of
+// tiny tasks, one of which has ended since the last report.
+func BenchmarkLongReport(b *testing.B) {
+	c := busyCore(100)
+	r := benchReport(0, "")
+	j := job.New(job.Spec{ID: "req-9", Team: c.teams[0].Name, Tasks: 600, Need: job.Resources{CPUs: 0.001}}, c.chunkSize(), 0)
+	j.Version = 1
+	c.addJob(c.teams[0], j)
+	for r.Tasks = nil; len(r.Tasks) < 600; {
+		i := len(r.Tasks)
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: j.TaskID(i), Attempt: 1, State: protocol.Running})
+		j.Bind(i, &job.Binding{Machine: r.Machine, Attempt: 1, Term: 1, Session: 1, Stored: true, Sent: true})
+	}
+	states := []string{protocol.Running, "pulling"}
+	for n := 0; b.Loop(); n++ {
+		r.Seq++
+		r.Tasks = slices.Clone(r.Tasks)
+		r.Tasks[n%600].State = states[n/600%2]
+		c.effects, c.observed = nil, nil
+		c.handle(Beat{Req: 1, Report: r})
+	}
+}
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -182,7 +182,7 @@
 	w := &control{term: c.term.term, session: r.Session, address: r.Address,
 		sent: map[taskAttempt]job.Resources{}, orders: map[taskAttempt]protocol.Command{}}
 	c.own[r.Machine] = w
-	c.log(Info, "worker reports here", "machine", r.Machine, "term", w.term)
+	c.log(Info, "worker reports here", "machine", r.Machine, "type", r.Type, "spot", r.Spot, "term", w.term)
 	return w
 }
 
--- a/internal/core/flood_test.go
+++ b/internal/core/flood_test.go
@@ -31,7 +31,7 @@
 }
 
 func TestSwarmSubmittedAtOnceIsAnsweredAndCancelledAtOnceIsGone(t *testing.T) {
-	const swarm = 300
+	const swarm = 500
 	w := newWorld(t).ready()
 	w.racing = true
 	id := func(i int) string { return fmt.Sprintf("req-free-%d", i) }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -79,7 +79,7 @@
 	}, func(r StoreReply) {
 		switch r.Outcome {
 		case Applied:
-			c.log(Debug, "job accepted", "job", s.ID, "team", t.Name, "class", s.Class, "tasks", s.Tasks)
+			c.log(Debug, "job accepted", "job", s.ID, "team", t.Name, "class", s.Class, "tasks", s.Tasks, "cpus", s.Need.CPUs, "memory", s.Need.MemoryGB, "estimate", s.EstimateS)
 			c.announce(t, protocol.KeyValue{Key: active, Value: head, Version: r.Revision})
 			c.answer(req, http.StatusCreated, protocol.JobState{ID: s.ID, State: protocol.Queued})
 		case Conflict:
