--- a/internal/core/job/spec.go
+++ b/internal/core/job/spec.go
@@ -79,6 +79,12 @@
 		(s.Zone == "" || s.Zone == zone) && (s.Spot || !spot)
 }
 
+// normal is the rank of the normal priority.
+var normal = slices.Index(protocol.Priorities, "normal")
+
+// AboveNormal tells whether the job's priority is higher than normal.
+func (s *Spec) AboveNormal() bool { return s.Priority < normal }
+
 // TaskID names task i of the job.
 func (s *Spec) TaskID(i int) string { return s.ID + "/" + strconv.Itoa(i) }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -98,7 +98,7 @@
 		out -= left.MemoryGB / h.Size.MemoryGB
 	}
 	if h.Images != nil && h.Images.HasImage(s.Image) {
-		out += 2
+		out += imageWorth(s)
 	}
 	if h.Empty {
 		out--
@@ -106,6 +106,16 @@
 	return out
 }
 
+// imageWorth is what it is worth that a host has the image. Urgent work waits for
+// little else than its fetch, so it goes where the image is even to a host that
+// is drained.
+func imageWorth(s *job.Spec) float64 {
+	if s.AboveNormal() {
+		return drained + 4
+	}
+	return 2
+}
+
 // Drain makes the dearest and emptiest hosts the last choice for as long as the
 // others have room to spare, so that they empty and can be returned. spareShare
 // of the whole room stays open for work to come.
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 
 	"pepperlever/internal/core/job"
@@ -103,3 +104,23 @@
 		t.Errorf("a machine takes %d tasks", n)
 	}
 }
+
+// imageOn is a host's cache with one image.
+type imageOn string
+
+func (i imageOn) HasImage(name string) bool { return name == string(i) }
+
+// Nearly all that urgent work waited for on the large fleets was the fetch of its
+// image.
+func TestUrgentWorkGoesWhereItsImageIsEvenToADrainedHost(t *testing.T) {
+	for priority, want := range map[string]string{"critical": "warm", "urgent": "warm", "normal": "cold", "low": "cold"} {
+		warm, cold := host("warm", "a", 32), host("cold", "a", 4)
+		warm.Images, warm.Dear, warm.Scale = imageOn("i"), 1, 1
+		Drain([]*Host{warm, cold}, 0)
+		s := spec(1, 1)
+		s.Image, s.Priority = "i", slices.Index(protocol.Priorities, priority)
+		if h := Choose(s, []*Host{warm, cold}, nil); h == nil || h.ID != want {
+			t.Errorf("%s work goes to %v", priority, h)
+		}
+	}
+}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -48,7 +48,7 @@
 // patience is how long a job waits before room is made for it: urgent ones as
 // long as it takes to hear what has ended meanwhile.
 func (c *Core) patience(j *job.Job) time.Duration {
-	if j.Priority < slices.Index(protocol.Priorities, "normal") {
+	if j.AboveNormal() {
 		return c.reportInterval() / 6
 	}
 	return c.reportInterval()
