Machines of a zone that is dark as a whole are left alone for three leases

A zone none of whose controllers and machines is heard is now taken to be cut off; its machines are given up after three leases. Cancelled tasks are dealt with as before.

--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -208,7 +208,8 @@
 	if known && (m.Exits == 0 || c.now.Steady-w.shared < 3*c.reportInterval()) {
 		// The others know; this node's beats tell them that the worker lives.
 		// Exited tasks are told again, lest the order to forget them was lost.
-		m.Seq, m.Seen = r.Seq, c.now.Steady
+		m.Seq = r.Seq
+		c.alive(m)
 		return
 	}
 	w.shared = c.now.Steady
@@ -376,10 +377,11 @@
 	if m.Node != o.Node || m.Term != o.Term || len(m.Tasks) != len(r.Tasks) {
 		c.sched.dirty = true
 	}
-	m.Node, m.Term, m.Seen = o.Node, o.Term, c.now.Steady
+	m.Node, m.Term = o.Node, o.Term
 	c.learn(m, &r)
 	c.arrived(r.Machine, o.Node)
 	m.Update(r, c.now.Steady)
+	c.alive(m)
 	c.ledger.Touch(r.Machine)
 	c.settleMachine(m)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,6 +54,8 @@
 	ledger *job.Ledger
 	own    map[string]*control
 	term   termState
+	// zoneSeen is when any machine of a zone last gave a sign of life.
+	zoneSeen map[string]time.Duration
 	// observed waits for being passed on to the other controllers.
 	observed []Observation
 	// beatAt is when this node last gave a sign of life.
@@ -104,7 +106,7 @@
 		teamBy: map[string]*team{}, jobs: map[string]*job.Job{},
 		orphans: map[string]map[int]protocol.KeyValue{}, marks: map[string]mark{},
 		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, goneAt: map[string]uint64{},
-		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{},
+		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{}, zoneSeen: map[string]time.Duration{},
 		peers: map[string]*peerState{}, storeOK: true,
 		sched: newSchedState(), rental: newRentState(), spread: newSpread(),
 	}
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -50,7 +50,7 @@
 		switch {
 		case l.State == protocol.Failed:
 			c.doom(id, "failed")
-		case c.machines[id] != nil || !settled:
+		case c.machines[id] != nil || !settled || c.dark(l.Zone):
 		case l.State == protocol.Booting && age > limit:
 			if c.doom(id, "does not come up") {
 				c.dud(l)
@@ -66,7 +66,7 @@
 		switch quiet := c.now.Steady - m.Seen; {
 		case m.NoticeAt > 0 && c.now.Steady > m.NoticeAt+c.reportInterval()/4:
 			c.doom(id, "taken back")
-		case quiet > c.silence() && c.everyoneHeard():
+		case quiet > c.silence() && c.everyoneHeard() && !(c.dark(m.Zone) && quiet < darkPatience*seconds(c.cfg.Params.Workers.LeaseS)):
 			c.doom(id, "silent")
 		case quiet > 2*c.reportInterval() && c.unlisted(id):
 			c.doom(id, "no longer listed")
@@ -88,6 +88,26 @@
 	return true
 }
 
+// darkPatience is for how many leases machines behind a cut are left alone.
+const darkPatience = 3
+
+// dark tells whether a zone is probably cut off with all that is in it: nothing
+// is heard from its machines, nor from any of its controllers. Work goes on in
+// there, since those controllers go on answering its workers, and comes back
+// whole with the zone; given up after the usual silence it would all run again.
+func (c *Core) dark(zone string) bool {
+	controllers := 0
+	for _, p := range c.cfg.Peers {
+		if p.Zone != zone {
+			continue
+		}
+		if controllers++; c.hears(p.Node) {
+			return false
+		}
+	}
+	return controllers > 0 && zone != c.cfg.Zone && c.now.Steady-c.zoneSeen[zone] > 2*c.reportInterval()
+}
+
 // doom has a machine released with all that is on it, and tells whether that is
 // new.
 func (c *Core) doom(id, why string) bool {
@@ -108,11 +128,23 @@
 }
 
 func (c *Core) condemned(m Condemn) {
-	if c.fleet.acting {
+	if c.fleet.acting && (m.Why != unheard || !c.mayReturn(m.Machine)) {
 		c.doom(m.Machine, m.Why)
 	}
 }
 
+// mayReturn tells whether a machine that another controller has never heard of
+// is the renter's to judge: one that the renter knows, or that the cloud lists in
+// a dark zone. A controller that starts while a zone is cut off hears nothing of
+// the machines in it, and had them all given up with the work on them.
+func (c *Core) mayReturn(id string) bool {
+	l, listed := c.rental.listed[id]
+	return c.machines[id] != nil || listed && c.dark(l.Zone)
+}
+
+// unheard is why a home condemns a machine of which it has only the bindings.
+const unheard = "unknown"
+
 // tendIdle closes machines that have had nothing to do for a while.
 func (c *Core) tendIdle() {
 	for id, m := range c.machines {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -18,6 +18,11 @@
 	return m
 }
 
+// alive notes a sign of life of a machine.
+func (c *Core) alive(m *worker.Machine) {
+	m.Seen, c.zoneSeen[m.Zone] = c.now.Steady, c.now.Steady
+}
+
 // removeMachine forgets a machine that is gone for good.
 func (c *Core) removeMachine(id string) {
 	delete(c.machines, id)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -191,7 +191,7 @@
 	}
 	for _, id := range b.Heard {
 		if m := c.machines[id]; m != nil {
-			m.Seen = c.now.Steady
+			c.alive(m)
 		}
 	}
 }
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -238,7 +238,7 @@
 	m := c.machines[b.Machine]
 	if m == nil {
 		if c.now.Steady-b.Since > c.silence() {
-			c.condemn(b.Machine, "unknown")
+			c.condemn(b.Machine, unheard)
 		}
 		return
 	}
