--- a/internal/core/dark_test.go
+++ b/internal/core/dark_test.go
@@ -77,3 +77,23 @@
 		t.Error("a cancelled task is left on a machine of a dark zone")
 	}
 }
+
+// A team without a home used to wait for up to a sixth of a report interval after
+// its controller was back or known to be gone.
+func TestTeamsAreTakenAsSoonAsTheirControllerIsKnownToBeGone(t *testing.T) {
+	w := newWorld(t).ready()
+	w.run(5*time.Second, nil)
+	for _, c := range w.cores {
+		c.timers.homes = w.now + time.Hour // they have just looked
+	}
+	w.crash("b")
+	w.expire("b")
+	w.run(3*w.tick, nil) // the watch, the write, and the watch again
+	for _, n := range []string{"a", "c"} {
+		for _, k := range w.cores[n].allTeams() {
+			if k.home != "a" && k.home != "c" {
+				t.Errorf("%s takes %s to be at %q", n, k.Name, k.home)
+			}
+		}
+	}
+}
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -87,6 +87,7 @@
 		var n nodeKey
 		if err = json.Unmarshal(item.Value, &n); err == nil {
 			c.nodes[strings.TrimPrefix(key, keyNode)] = n
+			c.timers.homes = 0 // teams may be waiting for it
 		}
 	case strings.HasPrefix(key, keyMark):
 		m := mark{version: item.Version}
@@ -130,6 +131,7 @@
 	case strings.HasPrefix(key, keyNode):
 		c.log(Info, "controller is gone", "node", strings.TrimPrefix(key, keyNode))
 		delete(c.nodes, strings.TrimPrefix(key, keyNode))
+		c.timers.homes = 0
 	case strings.HasPrefix(key, keyMark):
 		delete(c.marks, strings.TrimPrefix(key, keyMark))
 	case strings.HasPrefix(key, keyIntent):
