--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -163,6 +163,29 @@
 	}
 }
 
+// A home that alone could not reach the state service went on as home, and
+// stopped all that the new home started, up to 85 times a task (inc-491b).
+func TestDeposedHomeThatWasNotToldStopsNothingOfTheNewOne(t *testing.T) {
+	for name, inFlight := range map[string]bool{"idle": false, "with a write on its way": true} {
+		w := newWorld(t).ready()
+		home := w.cores["a"].teamBy["free"].home
+		accepted(t, w.submit(home, "req-free-1", 6, ""))
+		if !inFlight {
+			w.run(time.Second, nil)
+		}
+		w.cut[home] = true
+		w.expire(home)
+		if !w.run(2*time.Minute, w.finished("req-free-1")) {
+			t.Fatalf("%s: job does not end", name)
+		}
+		for task, n := range w.starts {
+			if n > 2 {
+				t.Errorf("%s: %s was started %d times", name, task, n)
+			}
+		}
+	}
+}
+
 func TestTransactionsWithoutAnAnswerAreSettledByTheirNonce(t *testing.T) {
 	w := newWorld(t).ready()
 	accepted(t, w.submit("a", "req-blue-1", 4, ""))
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -46,8 +46,10 @@
 	Cancelled bool
 	Done      Set
 	Bound     map[int]*Binding
-	// Attempt is the highest attempt number in use.
-	Attempt uint64
+	// Attempt is the highest attempt number in use, StoredAttempt the highest that
+	// the store is known to hold. No higher one can have been started by a home
+	// that knows no more.
+	Attempt, StoredAttempt uint64
 	// ChunkSize is the number of tasks stored under one key.
 	ChunkSize int
 	// dirty names the chunks whose stored form is out of date.
@@ -230,6 +232,7 @@
 	j.Spec = *r.Spec
 	j.ID = id
 	j.Nonce, j.Attempt, j.Suspected = r.Nonce, r.Attempt, r.Suspect
+	j.StoredAttempt = r.Attempt
 	var finished Set
 	if err := finished.Parse(r.Finished, 0, j.chunks()); err != nil {
 		return err
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -12,13 +12,15 @@
 
 // update is one transaction on a job and what it carries.
 type update struct {
-	team    *team
-	job     *job.Job
-	txn     protocol.Txn
-	writes  []job.ChunkWrite
-	bound   []*job.Binding
-	final   string
-	nonce   string
+	team   *team
+	job    *job.Job
+	txn    protocol.Txn
+	writes []job.ChunkWrite
+	bound  []*job.Binding
+	final  string
+	nonce  string
+	// attempt is the highest attempt number that it stores.
+	attempt uint64
 	retries int
 	// ended lists the exits that the store knows of once this is applied.
 	ended []job.Exit
@@ -28,7 +30,7 @@
 // nobody has changed the job.
 func (c *Core) flush(t *team, j *job.Job) {
 	c.nextID++
-	u := &update{team: t, job: j, nonce: fmt.Sprintf("%s.%d", c.inc, c.nextID)}
+	u := &update{team: t, job: j, nonce: fmt.Sprintf("%s.%d", c.inc, c.nextID), attempt: j.Attempt}
 	j.Nonce = u.nonce
 	u.txn.If = []protocol.Condition{t.held(), {Key: activeKey(j.ID), Version: j.Version}}
 	more := false
@@ -139,7 +141,7 @@
 
 func (c *Core) updateApplied(u *update, revision uint64) {
 	j := u.job
-	j.InFlight, j.Version = false, revision
+	j.InFlight, j.Version, j.StoredAttempt = false, revision, u.attempt
 	if u.final != "" {
 		s := protocol.JobState{ID: j.ID, State: u.final}
 		if u.final == protocol.Done {
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -128,8 +128,14 @@
 }
 
 // leftover deals with a reported task that no binding stands for. It can be
-// forgotten once the store holds what became of it.
+// forgotten once the store holds what became of it. An attempt later than this
+// home has stored is another home's: this one has been deposed and was not told
+// yet, since the state service is out of its reach. It used to stop whatever the
+// new home started.
 func (c *Core) leftover(j *job.Job, m *worker.Machine, t protocol.TaskReport) {
+	if t.Attempt > j.StoredAttempt {
+		return
+	}
 	if t.State != protocol.Exited || !j.Dirty() && !j.InFlight {
 		c.dismiss(m, t)
 	}
