--- a/internal/core/boots_test.go
+++ b/internal/core/boots_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pepperlever/internal/core/fleet"
+	"pepperlever/internal/core/job"
 	"pepperlever/internal/protocol"
 )
 
@@ -82,3 +84,48 @@
 		t.Errorf("%d offers of %d are left", n, before)
 	}
 }
+
+// A large demand was spread over one request an offer: the dear offers were asked
+// while there were cheap machines left, and the next round came seconds later.
+func TestLargeDemandIsRentedOfTheCheapestOfferFirstAndWithoutPauses(t *testing.T) {
+	c := renter(t, 0, 0)
+	c.catalogIn(CatalogIn{Types: []protocol.MachineType{
+		{Name: "cheap", CPUs: 4, MemoryGB: 16, Price: 1, SpotPrice: 0.1, BootS: 5, Zones: []string{"z1"}},
+		{Name: "dear", CPUs: 4, MemoryGB: 16, Price: 2, SpotPrice: 0.5, BootS: 5, Zones: []string{"z1"}},
+	}})
+	const tasks = 1000
+	c.sched.unplaced = []fleet.Demand{{Spec: &job.Spec{Tasks: tasks, Need: job.Resources{CPUs: 4}, Spot: true}, Tasks: tasks, Right: fleet.Plain}}
+	got, rounds := 0, 0
+	for ; got < tasks && rounds < 10; rounds++ {
+		c.effects = nil
+		c.rentMore()
+		asked := 0
+		for _, e := range c.effects {
+			put, ok := e.(StoreTxn)
+			if !ok {
+				continue
+			}
+			c.handle(StoreReply{ID: put.ID, Outcome: Applied, Revision: 9})
+			rent := c.effects[len(c.effects)-1].(Rent)
+			if asked++; rent.Rental.Type != "cheap" || rent.Rental.Count > protocol.MaxRental {
+				t.Fatalf("asked for %+v", rent.Rental)
+			}
+			var names []string
+			for range rent.Rental.Count {
+				got++
+				names = append(names, fmt.Sprintf("vm-8%04d", got))
+			}
+			c.timers.fleet = time.Hour
+			c.handle(Rented{Rental: rent.Rental, Outcome: Applied, Machines: names})
+			if c.timers.fleet > c.now.Steady {
+				t.Fatal("the next round waits")
+			}
+		}
+		if asked > int(c.cfg.Params.Cloud.RPS) {
+			t.Fatalf("%d requests in a round", asked)
+		}
+	}
+	if got != tasks || rounds != tasks/protocol.MaxRental/int(c.cfg.Params.Cloud.RPS) {
+		t.Errorf("%d machines in %d rounds", got, rounds)
+	}
+}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -189,9 +189,17 @@
 		return
 	}
 	coming := c.coming()
-	orders := fleet.Plan(c.sched.unplaced, coming, c.yielding(), c.offers(c.backlog(coming)), protocol.MaxRental)
-	for _, o := range orders[:min(len(orders), int(c.cfg.Params.Cloud.RPS))] {
-		c.rent(o)
+	// As many requests as the cloud takes in a second, the cheapest machines first:
+	// bounded by one request an offer, a large demand went on to dear offers while
+	// there were cheap machines left.
+	requests := int(max(1, c.cfg.Params.Cloud.RPS))
+	for _, o := range fleet.Plan(c.sched.unplaced, coming, c.yielding(), c.offers(c.backlog(coming)), requests*protocol.MaxRental) {
+		for ; o.Count > 0 && requests > 0; requests-- {
+			part := o
+			part.Count = min(o.Count, protocol.MaxRental)
+			o.Count -= part.Count
+			c.rent(part)
+		}
 	}
 }
 
@@ -271,7 +279,7 @@
 	c.nextID++
 	name := fmt.Sprintf("%s-%s-%d", c.cfg.Node, c.inc, c.nextID)
 	i := &intent{Rental: protocol.Rental{Request: name, Type: o.Offer.Type.Name, Zone: o.Offer.Zone,
-		Spot: o.Offer.Spot, Count: min(o.Count, protocol.MaxRental)}, busy: true}
+		Spot: o.Offer.Spot, Count: o.Count}, busy: true}
 	c.intents[name] = i
 	c.txn(protocol.Txn{
 		If:   []protocol.Condition{c.fleet.held(), {Key: keyIntent + name}},
@@ -293,6 +301,7 @@
 		return
 	}
 	i.busy = false
+	c.timers.fleet = 0 // what is still missing is asked for at once
 	key := offerKey{m.Rental.Type, m.Rental.Zone, m.Rental.Spot}
 	switch m.Outcome {
 	case Applied:
@@ -306,7 +315,6 @@
 		}
 		c.storeIntent(m.Rental.Request, i)
 	case Refused:
-		c.timers.fleet = 0 // the next offer is tried at once
 		c.refusedOffer(key)
 		i.Machines, i.busy = []string{}, true
 		c.dropIntent(m.Rental.Request, i)
--- a/internal/core/spot_test.go
+++ b/internal/core/spot_test.go
@@ -15,6 +15,11 @@
 	w.run(15*time.Second, nil) // the machine is known and listed for long
 	w.submit("a", "req-blue-2", 1, `,"guessS":400.0`)
 	w.started("req-blue-2", 1)
+	for _, c := range w.cores {
+		for id := range c.rental.came {
+			c.rental.came[id] -= time.Minute // all were rented long ago
+		}
+	}
 	for _, f := range w.workers {
 		for _, task := range f.Tasks {
 			if task.Task == "req-blue-2/0" {
