--- a/internal/lab/advance.go
+++ b/internal/lab/advance.go
@@ -19,9 +19,6 @@
 			m.Session++
 			m.began, m.changed = now, true
 		}
-		if m.hung {
-			continue
-		}
 		for _, t := range m.tasks {
 			if t.ends > 0 && now >= t.ends {
 				f.next(m, t)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -37,7 +37,6 @@
 	images map[string]time.Duration // when each is there
 	// began is when the session did, sent when the last answered report was sent.
 	began, sent time.Duration
-	hung        bool
 	changed     bool
 }
 
