--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Config is the gateway's file. Times are in seconds.
+type Config struct {
+	Site Site `toml:"site"`
+	// RetryS is the first pause between two tries of the same, RetryMaxS the longest.
+	RetryS    float64 `toml:"retry_s"`
+	RetryMaxS float64 `toml:"retry_max_s"`
+	// RetriesPerS is how many repeated tries a second all hand-offs to one peer share.
+	RetriesPerS float64 `toml:"retries_per_s"`
+	// BreakAfter is how many tries in a row without an answer open a peer's breaker.
+	BreakAfter int `toml:"break_after"`
+	// Hops bounds the sites that a job may pass through.
+	Hops  int     `toml:"hops"`
+	Peers []Peer  `toml:"peers"`
+	Class []Class `toml:"classes"`
+}
+
+// Peer is another site.
+type Peer struct {
+	Site    Site   `toml:"site"`
+	Address string `toml:"address"`
+	// AtOnce bounds the jobs that are away there at a time, Takes those taken from
+	// it; 0 takes none.
+	AtOnce int  `toml:"at_once"`
+	Takes  int  `toml:"takes"`
+	Drain  bool `toml:"drain"`
+}
+
+// Class says what may happen to the jobs of a class.
+type Class struct {
+	Name string `toml:"name"`
+	// To lists the sites that its jobs may go to, the preferred first.
+	To []Site `toml:"to"`
+	// AfterS is for how long a job waits here before it is offered.
+	AfterS float64 `toml:"after_s"`
+	// AtOnce bounds the jobs of the class that are away at a time; 0: no bound.
+	AtOnce int `toml:"at_once"`
+	// Repeat allows an operator to run its jobs again although they may have run.
+	Repeat bool `toml:"repeat"`
+	// Accept lists the sites whose jobs of the class are taken.
+	Accept []Site `toml:"accept"`
+}
+
+// Default holds the figures that a file need not give.
+func Default() Config {
+	return Config{RetryS: 2, RetryMaxS: 60, RetriesPerS: 20, BreakAfter: 3, Hops: 3}
+}
+
+// Load reads and checks a gateway's file. Unknown keys are errors, told in one line.
+func Load(path string) (*Config, error) {
+	c := Default()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	d := toml.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	err = d.Decode(&c)
+	var strict *toml.StrictMissingError
+	switch {
+	case errors.As(err, &strict):
+		line, _ := strict.Errors[0].Position()
+		return nil, fmt.Errorf("%s: line %d: unknown key %v", path, line, strict.Errors[0].Key())
+	case err != nil:
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &c, nil
+}
+
+func (c *Config) check() error {
+	switch {
+	case c.Site == "":
+		return errors.New("site is missing")
+	case c.RetryS <= 0 || c.RetryMaxS < c.RetryS || c.RetriesPerS <= 0 || c.BreakAfter < 1 || c.Hops < 1:
+		return errors.New("retry_s, retry_max_s, retries_per_s, break_after and hops must be positive, retry_max_s at least retry_s")
+	}
+	known := []Site{}
+	for _, p := range c.Peers {
+		switch {
+		case p.Site == "" || p.Site == c.Site || slices.Contains(known, p.Site):
+			return fmt.Errorf("peer %q is this site, empty or named twice", p.Site)
+		case p.AtOnce < 0 || p.Takes < 0:
+			return fmt.Errorf("peer %q: at_once and takes may not be negative", p.Site)
+		}
+		known = append(known, p.Site)
+	}
+	for _, k := range c.Class {
+		for _, s := range append(slices.Clone(k.To), k.Accept...) {
+			if !slices.Contains(known, s) {
+				return fmt.Errorf("class %q names %q, which is no peer", k.Name, s)
+			}
+		}
+	}
+	return nil
+}
+
+// peer finds a peer by its name.
+func (c *Config) peer(s Site) (Peer, bool) {
+	i := slices.IndexFunc(c.Peers, func(p Peer) bool { return p.Site == s })
+	if i < 0 {
+		return Peer{}, false
+	}
+	return c.Peers[i], true
+}
+
+// class finds the rules of a class; one that is not named goes nowhere and is not
+// taken.
+func (c *Config) class(name string) Class {
+	i := slices.IndexFunc(c.Class, func(k Class) bool { return k.Name == name })
+	if i < 0 {
+		return Class{Name: name}
+	}
+	return c.Class[i]
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed and -rapid.checks
+// search further.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Three sites, any order of messages, cuts, ends of gateways and of state services,
+// writes without an answer or applied late, cancels and operators: one right to
+// run, one final answer, and everything ends once the troubles do.
+func TestAnyInterleavingKeepsOneRightAndOneAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSim(t.Fatalf)
+		site := rapid.SampledFrom(siteNames)
+		fates := rapid.SampledFrom([]fate{fine, fine, fine, unanswered, lost, late})
+		next := 0
+		job := func(t *rapid.T) (Site, string) {
+			n := site.Draw(t, "site")
+			ids := sortedJobs(w.sites[n])
+			if len(ids) == 0 {
+				t.Skip("no job here")
+			}
+			return n, rapid.SampledFrom(ids).Draw(t, "job")
+		}
+		tick := func(t *rapid.T) {
+			w.now += time.Duration(rapid.SampledFrom([]int{1, 1, 4, 20}).Draw(t, "seconds")) * time.Second
+			w.tick(site.Draw(t, "site"), fates.Draw(t, "fate"))
+		}
+		deliver := func(t *rapid.T) {
+			if len(w.flying) == 0 {
+				t.Skip("nothing flies")
+			}
+			w.deliver(rapid.IntRange(0, len(w.flying)-1).Draw(t, "message"), rapid.Bool().Draw(t, "again"), fates.Draw(t, "fate"))
+		}
+		seldom := func(t *rapid.T, f func()) {
+			if rapid.IntRange(0, 7).Draw(t, "seldom") == 0 {
+				f()
+			}
+		}
+		submit := func(t *rapid.T) {
+			next++
+			w.submit(site.Draw(t, "site"), fmt.Sprintf("req-%d", next), rapid.SampledFrom([]string{"k", "once"}).Draw(t, "class"))
+		}
+		submit(t)
+		submit(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"tick": tick, "tick more": tick, "deliver": deliver, "deliver more": deliver, "deliver most": deliver,
+			"submit": func(t *rapid.T) {
+				if next < 4 {
+					submit(t)
+				}
+			},
+			"lose": func(t *rapid.T) {
+				if len(w.flying) == 0 {
+					t.Skip("nothing flies")
+				}
+				i := rapid.IntRange(0, len(w.flying)-1).Draw(t, "message")
+				w.flying = append(w.flying[:i], w.flying[i+1:]...)
+			},
+			"run": func(t *rapid.T) {
+				n, id := job(t)
+				if w.sites[n].jobs[id].root != id {
+					w.run(n, id)
+				} else { // jobs that run at once are never handed off
+					seldom(t, func() { w.run(n, id) })
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				n, id := job(t)
+				if w.sites[n].jobs[id].root == id { // users know their own jobs
+					seldom(t, func() { w.cancel(n, id) })
+				}
+			},
+			"give up": func(t *rapid.T) {
+				seldom(t, func() {
+					n, id := job(t)
+					w.step(n, GiveUp{Req: 1, Job: id, Operator: "ana", Why: "site burnt down"})
+				})
+			},
+			"crash":      func(t *rapid.T) { seldom(t, func() { w.boot(site.Draw(t, "site")) }) },
+			"late write": func(t *rapid.T) { w.applyLate(site.Draw(t, "site")) },
+			"cut": func(t *rapid.T) {
+				seldom(t, func() { w.cut[[2]Site{site.Draw(t, "from"), site.Draw(t, "to")}] = true })
+			},
+			"outage": func(t *rapid.T) { seldom(t, func() { w.down[site.Draw(t, "site")] = true }) },
+			"heal": func(t *rapid.T) {
+				clear(w.cut)
+				clear(w.down)
+			},
+		})
+		w.settle()
+	})
+}
--- /dev/null
+++ b/internal/gateway/sim_test.go
@@ -0,0 +1,407 @@
+package gateway
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// sim is three sites with their stores and a network that does as it likes. It
+// checks after every step what must hold.
+type sim struct {
+	now   time.Duration
+	sites map[Site]*simSite
+	// flying are the messages on their way, held those that come when all is over.
+	flying, held []Message
+	// roots holds for each job of a user what has become of it.
+	roots map[string]*root
+	fail  func(format string, args ...any)
+	// cut holds back what passes between two sites, in one direction.
+	cut map[[2]Site]bool
+	// down holds the sites whose state service answers nothing.
+	down map[Site]bool
+}
+
+type root struct {
+	runs    int
+	final   string // at the origin, once it is
+	givenUp bool
+}
+
+type simSite struct {
+	name    Site
+	cfg     *Config
+	machine *Machine
+	records Records
+	jobs    map[string]*simJob
+	// home is the version of the gateway's home key; writes of an earlier one fail.
+	home int
+	// late are writes that may yet be applied.
+	late []lateWrite
+	seed uint64
+}
+
+type lateWrite struct {
+	write Write
+	home  int
+}
+
+type simJob struct {
+	root, class string
+	final       string
+	away        Epoch
+	running     bool
+	path        []Site
+}
+
+var siteNames = []Site{"a", "b", "c"}
+
+func simConfig(self Site) *Config {
+	c := Default()
+	c.Site, c.RetryS, c.RetryMaxS = self, 1, 8
+	k := Class{Name: "k", Repeat: true}
+	once := Class{Name: "once"}
+	for _, s := range siteNames {
+		if s != self {
+			c.Peers = append(c.Peers, Peer{Site: s, AtOnce: 2, Takes: 1})
+			k.To, k.Accept = append(k.To, s), append(k.Accept, s)
+			once.To, once.Accept = append(once.To, s), append(once.Accept, s)
+		}
+	}
+	c.Class = []Class{k, once}
+	return &c
+}
+
+func newSim(fail func(format string, args ...any)) *sim {
+	w := &sim{sites: map[Site]*simSite{}, roots: map[string]*root{}, fail: fail, cut: map[[2]Site]bool{}, down: map[Site]bool{}}
+	for _, n := range siteNames {
+		w.sites[n] = &simSite{name: n, cfg: simConfig(n), jobs: map[string]*simJob{},
+			records: Records{Away: map[string]Away{}, Taken: map[Hold]Taken{}, Floors: map[Site]Epoch{}}}
+	}
+	for _, n := range siteNames {
+		w.boot(n)
+	}
+	return w
+}
+
+// boot starts a site's gateway, or starts it again.
+func (w *sim) boot(n Site) {
+	s := w.sites[n]
+	s.home++
+	s.seed++
+	s.machine = New(s.cfg, s.seed)
+	w.step(n, Loaded{s.copyRecords()})
+}
+
+func (s *simSite) copyRecords() Records {
+	return Records{Last: s.records.Last, Away: maps.Clone(s.records.Away), Taken: maps.Clone(s.records.Taken), Floors: maps.Clone(s.records.Floors)}
+}
+
+// fate is what becomes of a write.
+type fate int
+
+const (
+	fine       fate = iota
+	unanswered      // applied, not told
+	lost            // not applied, not told
+	late            // not told, applied later or never
+)
+
+// step hands inputs to a site and carries the effects out, writes as planned.
+func (w *sim) step(n Site, in ...Input) { w.stepWith(n, fine, in...) }
+
+func (w *sim) stepWith(n Site, f fate, in ...Input) {
+	s := w.sites[n]
+	queue := in
+	for first := true; first || len(queue) > 0; first = false {
+		effects := s.machine.Step(w.now, queue...)
+		queue = nil
+		for _, e := range effects {
+			switch e := e.(type) {
+			case Store:
+				queue = append(queue, Stored{e.ID, w.write(s, e.Write, f)})
+			case Reload:
+				if !w.down[n] {
+					queue = append(queue, Loaded{s.copyRecords()})
+				} else {
+					s.machine.reloadAt = w.now + time.Second // the adapter tries again
+				}
+			case Send:
+				if !w.cut[[2]Site{n, e.Message.To}] {
+					w.flying = append(w.flying, e.Message)
+				}
+			case CancelHere:
+				w.cancelHere(n, e.Local)
+			}
+		}
+	}
+	w.check()
+}
+
+func (w *sim) write(s *simSite, wr Write, f fate) Outcome {
+	if w.down[s.name] {
+		f = lost
+	}
+	switch f {
+	case unanswered:
+		w.apply(s, wr, s.home)
+		return Unknown
+	case lost:
+		return Unknown
+	case late:
+		s.late = append(s.late, lateWrite{wr, s.home})
+		return Unknown
+	}
+	if w.apply(s, wr, s.home) {
+		return Applied
+	}
+	return Conflict
+}
+
+// apply is the state service: one transaction under its conditions.
+func (w *sim) apply(s *simSite, wr Write, home int) bool {
+	if home != s.home {
+		return false
+	}
+	switch wr := wr.(type) {
+	case MakeAway:
+		j := s.jobs[wr.Job]
+		if j == nil || j.final != "" || j.away != 0 || j.running || wr.Away.Epoch != s.records.Last+1 {
+			return false
+		}
+		s.records.Last, j.away = wr.Away.Epoch, wr.Away.Epoch
+		s.records.Away[wr.Job] = wr.Away
+	case MarkCancel:
+		a, ok := s.records.Away[wr.Job]
+		if !ok || a.Epoch != wr.Epoch {
+			return false
+		}
+		a.CancelAsked = true
+		s.records.Away[wr.Job] = a
+	case TakeBack:
+		if a, ok := s.records.Away[wr.Job]; !ok || a.Epoch != wr.Epoch {
+			return false
+		}
+		delete(s.records.Away, wr.Job)
+		s.jobs[wr.Job].away = 0
+		if wr.Operator != "" {
+			w.roots[s.jobs[wr.Job].root].givenUp = true
+		}
+		if wr.Cancelled {
+			w.end(s, wr.Job, Cancelled)
+		}
+	case Finish:
+		if a, ok := s.records.Away[wr.Job]; !ok || a.Epoch != wr.Epoch || s.jobs[wr.Job].final != "" {
+			return false
+		}
+		delete(s.records.Away, wr.Job)
+		s.jobs[wr.Job].away = 0
+		w.end(s, wr.Job, wr.State)
+	case Decide:
+		if _, ok := s.records.Taken[wr.Hold]; ok || wr.Hold.Epoch <= s.records.Floors[wr.Hold.Origin] {
+			return false
+		}
+		s.records.Taken[wr.Hold] = wr.Taken
+		if wr.Taken.Accepted {
+			from := w.sites[wr.Hold.Origin].jobs[wr.Ticket.Job]
+			s.jobs[wr.Taken.Local] = &simJob{root: from.root, class: from.class, path: wr.Ticket.Path}
+		}
+	case NoteEnd:
+		k, ok := s.records.Taken[wr.Hold]
+		if !ok {
+			return false
+		}
+		k.State = wr.State
+		s.records.Taken[wr.Hold] = k
+	case Forget:
+		if wr.Floor <= s.records.Floors[wr.Origin] {
+			return false
+		}
+		s.records.Floors[wr.Origin] = wr.Floor
+		maps.DeleteFunc(s.records.Taken, func(h Hold, _ Taken) bool { return h.Origin == wr.Origin && h.Epoch <= wr.Floor })
+	default:
+		panic(fmt.Sprintf("unknown write %T", wr))
+	}
+	return true
+}
+
+// end gives a job its final state at a site, for good.
+func (w *sim) end(s *simSite, job, state string) {
+	j := s.jobs[job]
+	if j.final != "" {
+		w.fail("%s at %s was %s and becomes %s", job, s.name, j.final, state)
+	}
+	j.final, j.running = state, false
+	if r := w.roots[j.root]; j.root == job {
+		r.final = state
+	}
+}
+
+// submit hands a job of a user in at a site.
+func (w *sim) submit(n Site, id, class string) {
+	w.roots[id] = &root{}
+	w.sites[n].jobs[id] = &simJob{root: id, class: class}
+}
+
+// mayRun tells whether a site holds the right to a job.
+func (j *simJob) mayRun() bool { return j.final == "" && j.away == 0 }
+
+// run starts a job where it is, or ends it as done.
+func (w *sim) run(n Site, id string) {
+	s := w.sites[n]
+	j := s.jobs[id]
+	switch {
+	case j.running: // it goes on, whatever the records say
+		w.roots[j.root].runs++
+		w.end(s, id, Done)
+	case j.mayRun():
+		j.running = true
+	}
+	w.check()
+}
+
+// cancelHere is the site's own cancellation of a job that it has accepted.
+func (w *sim) cancelHere(n Site, id string) {
+	j := w.sites[n].jobs[id]
+	switch {
+	case j == nil || j.final != "":
+	case j.away != 0:
+		w.step(n, Cancel{Job: id})
+	default:
+		w.end(w.sites[n], id, Cancelled)
+	}
+}
+
+// cancel is a user's request at the site where the job was handed in.
+func (w *sim) cancel(n Site, id string) {
+	j := w.sites[n].jobs[id]
+	if j.final == "" && j.away == 0 {
+		w.end(w.sites[n], id, Cancelled)
+	} else if j.final == "" {
+		w.step(n, Cancel{Req: 1, Job: id})
+	}
+	w.check()
+}
+
+// deliver hands the i-th message over, and keeps it when it comes again.
+func (w *sim) deliver(i int, again bool, f fate) {
+	m := w.flying[i]
+	if !again {
+		w.flying = slices.Delete(w.flying, i, i+1)
+	}
+	w.stepWith(m.To, f, Received{m})
+}
+
+// tick lets a second pass at a site: its jobs that wait may go elsewhere, and ends
+// that are not noted yet are told to the gateway.
+func (w *sim) tick(n Site, f fate) {
+	s := w.sites[n]
+	var in []Input
+	for _, id := range sortedJobs(s) {
+		j := s.jobs[id]
+		if j.mayRun() && !j.running {
+			in = append(in, Waiting{Job{ID: id, Class: j.class, Path: j.path, Waited: time.Hour}})
+		}
+	}
+	for _, k := range s.records.Taken {
+		if k.Accepted && k.State == "" && s.jobs[k.Local].final != "" {
+			in = append(in, EndedHere{k.Local, s.jobs[k.Local].final})
+		}
+	}
+	w.stepWith(n, f, in...)
+}
+
+// applyLate lets the oldest write of unknown outcome be applied now.
+func (w *sim) applyLate(n Site) {
+	s := w.sites[n]
+	if len(s.late) > 0 {
+		l := s.late[0]
+		s.late = s.late[1:]
+		if w.apply(s, l.write, l.home) {
+			w.step(n, Loaded{s.copyRecords()}) // its watch tells
+		}
+	}
+}
+
+// check is what must hold at any moment.
+func (w *sim) check() {
+	holders := map[string][]string{}
+	for _, n := range siteNames {
+		for id, j := range w.sites[n].jobs {
+			if j.mayRun() || j.running {
+				holders[j.root] = append(holders[j.root], fmt.Sprintf("%s at %s", id, n))
+			}
+		}
+	}
+	for id, r := range w.roots {
+		if r.givenUp {
+			continue
+		}
+		if len(holders[id]) > 1 {
+			w.fail("%s may run twice: %v", id, holders[id])
+		}
+		if r.runs > 1 {
+			w.fail("%s ran %d times", id, r.runs)
+		}
+		if r.final == Done && r.runs == 0 {
+			w.fail("%s is done and never ran", id)
+		}
+		if r.final == Cancelled && r.runs > 0 {
+			w.fail("%s is cancelled at its origin and ran to its end", id)
+		}
+		if r.final != "" && len(holders[id]) > 0 {
+			w.fail("%s is %s, and may still run: %v", id, r.final, holders[id])
+		}
+	}
+}
+
+// settle ends all troubles, and plays until every job has its final state and no
+// hand-off is open.
+func (w *sim) settle() {
+	clear(w.cut)
+	clear(w.down)
+	for range 400 {
+		w.now += time.Second
+		for _, n := range siteNames {
+			w.applyLate(n)
+			w.tick(n, fine)
+			for _, id := range sortedJobs(w.sites[n]) {
+				w.run(n, id)
+			}
+		}
+		for len(w.flying) > 0 {
+			w.deliver(0, false, fine)
+		}
+		if w.settled() && len(w.held) > 0 {
+			w.flying, w.held = w.held, nil // late, and harmless
+		} else if w.settled() {
+			return
+		}
+	}
+	for _, n := range siteNames {
+		w.fail("%s: away %v, taken %v", n, w.sites[n].records.Away, w.sites[n].records.Taken)
+	}
+	w.fail("hand-offs do not end")
+}
+
+func (w *sim) settled() bool {
+	for _, s := range w.sites {
+		for _, j := range s.jobs {
+			if j.final == "" {
+				return false
+			}
+		}
+		for _, k := range s.records.Taken {
+			if k.Accepted {
+				return false
+			}
+		}
+		if len(s.records.Away) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedJobs(s *simSite) []string { return slices.Sorted(maps.Keys(s.jobs)) }
--- /dev/null
+++ b/internal/gateway/stages_test.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// trouble is what befalls one message of a hand-off, or a site at that moment.
+var troubles = map[string]func(w *sim, i int){
+	"lost":  func(w *sim, i int) { w.flying = append(w.flying[:i], w.flying[i+1:]...) },
+	"twice": func(w *sim, i int) { w.deliver(i, true, fine); w.deliver(i, false, fine) },
+	"held past all that follows": func(w *sim, i int) {
+		w.held = append(w.held, w.flying[i])
+		w.flying = append(w.flying[:i], w.flying[i+1:]...)
+	},
+	"write carried out, not told":  func(w *sim, i int) { w.deliver(i, false, unanswered) },
+	"write lost":                   func(w *sim, i int) { w.deliver(i, false, lost) },
+	"write late":                   func(w *sim, i int) { w.deliver(i, false, late) },
+	"receiver ends before":         func(w *sim, i int) { w.boot(w.flying[i].To) },
+	"receiver ends after":          func(w *sim, i int) { to := w.flying[i].To; w.deliver(i, false, fine); w.boot(to) },
+	"sender ends":                  func(w *sim, i int) { w.boot(w.flying[i].From) },
+	"both end":                     func(w *sim, i int) { m := w.flying[i]; w.boot(m.From); w.boot(m.To) },
+	"link cut there for a while":   func(w *sim, i int) { m := w.flying[i]; w.cutFor(m.From, m.To, 30*time.Second) },
+	"link cut back for a while":    func(w *sim, i int) { m := w.flying[i]; w.cutFor(m.To, m.From, 30*time.Second) },
+	"link cut for less than a try": func(w *sim, i int) { m := w.flying[i]; w.cutFor(m.From, m.To, time.Second) },
+	"receiver's store out":         func(w *sim, i int) { w.downFor(w.flying[i].To, 20*time.Second) },
+	"sender's store out":           func(w *sim, i int) { w.downFor(w.flying[i].From, 20*time.Second) },
+	"cancelled by its user":        func(w *sim, _ int) { w.cancelAnywhere("req-1") },
+	"cancelled, and the link cut": func(w *sim, i int) {
+		m := w.flying[i]
+		w.cancelAnywhere("req-1")
+		w.cutFor(m.From, m.To, 30*time.Second)
+	},
+	"job ends at that very moment": func(w *sim, _ int) { w.runAll(); w.runAll() },
+	"receiver drained":             func(w *sim, i int) { w.drain(w.flying[i].To) },
+}
+
+// Every message of a hand-off, offered, run and closed, or refused, in turn meets
+// every trouble, in either direction.
+func TestEveryStageMeetsEveryTrouble(t *testing.T) {
+	cases, runs, answers := 0, 0, 0
+	for _, refused := range []bool{false, true} {
+		for name, trouble := range troubles {
+			for stage := 0; ; stage++ {
+				where := fmt.Sprintf("%s at message %d, refused %v", name, stage, refused)
+				w := newSim(func(format string, args ...any) { t.Errorf(where+": "+format, args...) })
+				w.submit("a", "req-1", "k")
+				if refused {
+					w.drain("b")
+					w.drain("c")
+				}
+				if !w.until(stage) {
+					break
+				}
+				trouble(w, 0)
+				w.settle()
+				cases++
+				runs += w.roots["req-1"].runs
+				if w.roots["req-1"].final != "" {
+					answers++
+				}
+			}
+		}
+	}
+	if answers != cases || runs > cases {
+		t.Errorf("%d cases, %d runs, %d final answers", cases, runs, answers)
+	}
+	t.Logf("%d cases: %d final answers, %d runs to the end, the others cancelled", cases, answers, runs)
+}
+
+// until plays without trouble until the n-th message is on its way, and tells
+// whether there is one.
+func (w *sim) until(n int) bool {
+	for range 60 {
+		w.now += time.Second
+		for _, s := range siteNames {
+			w.tick(s, fine)
+		}
+		for len(w.flying) > 0 {
+			if n == 0 {
+				return true
+			}
+			n--
+			w.deliver(0, false, fine)
+		}
+		w.runAway()
+	}
+	return false
+}
+
+// runAway runs the jobs that were handed to another site; runAll runs all.
+func (w *sim) runAway() {
+	for _, n := range siteNames {
+		for _, id := range sortedJobs(w.sites[n]) {
+			if w.sites[n].jobs[id].root != id {
+				w.run(n, id)
+			}
+		}
+	}
+}
+
+func (w *sim) runAll() {
+	for _, n := range siteNames {
+		for _, id := range sortedJobs(w.sites[n]) {
+			w.run(n, id)
+		}
+	}
+}
+
+// cutFor holds a link back for some time; downFor a state service.
+func (w *sim) cutFor(from, to Site, d time.Duration) {
+	w.cut[[2]Site{from, to}] = true
+	w.play(d)
+	delete(w.cut, [2]Site{from, to})
+}
+
+func (w *sim) downFor(n Site, d time.Duration) {
+	w.down[n] = true
+	w.play(d)
+	delete(w.down, n)
+}
+
+// play lets time pass with whatever is cut.
+func (w *sim) play(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += time.Second
+		for _, s := range siteNames {
+			w.tick(s, fine)
+		}
+		for len(w.flying) > 0 {
+			w.deliver(0, false, fine)
+		}
+		w.runAway()
+	}
+}
+
+func (w *sim) cancelAnywhere(id string) {
+	for _, n := range siteNames {
+		if w.sites[n].jobs[id] != nil {
+			w.cancel(n, id)
+		}
+	}
+}
+
+func (w *sim) drain(n Site) {
+	for i := range w.sites[n].cfg.Peers {
+		w.sites[n].cfg.Peers[i].Drain = true
+	}
+}
