--- a/client/job.go
+++ b/client/job.go
@@ -4,15 +4,13 @@
 	"bytes"
 	"crypto/rand"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/big"
 	"os"
 	"strings"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"pepperlever/internal/protocol"
+	"pepperlever/internal/strict"
 )
 
 // Kinds of jobs.
@@ -68,25 +66,17 @@
 // Unknown keys are errors.
 func LoadJob(path string) (Job, error) {
 	var j Job
+	if !strings.HasSuffix(path, ".json") {
+		err := strict.Load(path, &j)
+		return j, err
+	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return j, err
 	}
-	if strings.HasSuffix(path, ".json") {
-		d := json.NewDecoder(bytes.NewReader(raw))
-		d.DisallowUnknownFields()
-		err = d.Decode(&j)
-	} else {
-		d := toml.NewDecoder(bytes.NewReader(raw))
-		d.DisallowUnknownFields()
-		err = d.Decode(&j)
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) {
-			line, _ := strict.Errors[0].Position()
-			err = fmt.Errorf("line %d: unknown key %v", line, strict.Errors[0].Key())
-		}
-	}
-	if err != nil {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&j); err != nil {
 		return j, fmt.Errorf("%s: %w", path, err)
 	}
 	return j, nil
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -1,13 +1,11 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"os"
 	"slices"
 
-	"github.com/pelletier/go-toml/v2"
+	"pepperlever/internal/strict"
 )
 
 // Config is the gateway's file. Times are in seconds.
@@ -60,21 +58,9 @@
 // Load reads and checks a gateway's file. Unknown keys are errors, told in one line.
 func Load(path string) (*Config, error) {
 	c := Default()
-	raw, err := os.ReadFile(path)
-	if err != nil {
+	if err := strict.Load(path, &c); err != nil {
 		return nil, err
 	}
-	d := toml.NewDecoder(bytes.NewReader(raw))
-	d.DisallowUnknownFields()
-	err = d.Decode(&c)
-	var strict *toml.StrictMissingError
-	switch {
-	case errors.As(err, &strict):
-		line, _ := strict.Errors[0].Position()
-		return nil, fmt.Errorf("%s: line %d: unknown key %v", path, line, strict.Errors[0].Key())
-	case err != nil:
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/lab/config.go
+++ b/internal/lab/config.go
@@ -2,15 +2,14 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
-	"os"
 	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
 	"pepperlever/internal/settings"
+	"pepperlever/internal/strict"
 )
 
 // Config is what a lab site is made of. Times are in seconds, sizes in GB, prices
@@ -85,21 +84,9 @@
 // error, told in one line.
 func Load(path string) (*Config, error) {
 	c := Default()
-	raw, err := os.ReadFile(path)
-	if err != nil {
+	if err := strict.Load(path, &c); err != nil {
 		return nil, err
 	}
-	d := toml.NewDecoder(bytes.NewReader(raw))
-	d.DisallowUnknownFields()
-	err = d.Decode(&c)
-	var strict *toml.StrictMissingError
-	switch {
-	case errors.As(err, &strict):
-		at, _ := strict.Errors[0].Position()
-		return nil, fmt.Errorf("%s: line %d: unknown key %v", path, at, strict.Errors[0].Key())
-	case err != nil:
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- /dev/null
+++ b/internal/strict/strict.go
@@ -0,0 +1,32 @@
+// Package strict reads TOML files in which a key that is not known is an error.
+package strict
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Load reads a file over what v holds. Errors are one line, with the file and,
+// for an unknown key, its line.
+func Load(path string, v any) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	d := toml.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	err = d.Decode(v)
+	var strict *toml.StrictMissingError
+	switch {
+	case errors.As(err, &strict):
+		line, _ := strict.Errors[0].Position()
+		return fmt.Errorf("%s: line %d: unknown key %v", path, line, strict.Errors[0].Key())
+	case err != nil:
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
