--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -201,3 +201,43 @@
 		c.handle(Beat{Req: 1, Report: r})
 	}
 }
+
+// BenchmarkSubmissions is 500 submissions in one step.
+func BenchmarkSubmissions(b *testing.B) {
+	c := busyCore(1400)
+	var commands []Command
+	for n := range 500 {
+		commands = append(commands, Submit{Req: uint64(n + 1), Body: []byte(submission(fmt.Sprintf("req-8%05d", n), "free", 30, ""))})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.effects = nil
+		clear(c.waits)
+		for _, cmd := range commands {
+			c.handle(cmd)
+		}
+		if len(c.effects) != len(commands) {
+			b.Fatalf("%d effects", len(c.effects))
+		}
+	}
+}
+
+// BenchmarkList is the cloud's list of all machines, and what the renter makes of it.
+func BenchmarkList(b *testing.B) {
+	benchSizes(b, func(b *testing.B, c *Core, _ int) {
+		c.fleet.acting = true
+		c.rental.reset(0)
+		var l ListIn
+		for _, id := range c.ids {
+			l.Machines = append(l.Machines, protocol.ListedMachine{ID: id, Type: "small", Zone: "z1", Spot: true, State: protocol.Running, AgeS: 60})
+		}
+		for b.Loop() {
+			c.effects = nil
+			c.listIn(l)
+			c.tendListed()
+		}
+		if len(c.rental.doomed) > 0 {
+			b.Fatal("a machine is given up")
+		}
+	})
+}
