--- /dev/null
+++ b/cmd/pepperlever/lab.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"pepperlever/client"
+	"pepperlever/internal/lab"
+)
+
+// labFlags are the flags of the lab.
+type labFlags struct {
+	config, data, images, job string
+	print                     bool
+}
+
+func labCommand() *cobra.Command {
+	var f labFlags
+	cmd := &cobra.Command{
+		Use: "lab", Short: "Run a whole site on loopback, with stand-ins for all that is round the controllers", Args: cobra.NoArgs,
+		Long: "Runs a whole site on this machine: controllers of this program, and stand-ins for the state service, the cloud,\n" +
+			"its machines and the users' front door. For trying things out, not for work that matters.",
+		RunE: func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
+	}
+	fl := cmd.Flags()
+	fl.StringVar(&f.config, "site", "", "the site's file (TOML); the defaults without one")
+	fl.StringVar(&f.data, "data", "", "folder that keeps the state, and the tasks' output, between runs")
+	fl.StringVar(&f.images, "images", "", "folder of images: a folder each, with an executable run")
+	fl.StringVar(&f.job, "job", "", "run the job of this file to its end, then stop the site")
+	fl.BoolVar(&f.print, "print-config", false, "print the site's file with all defaults, and stop")
+	return cmd
+}
+
+func (f *labFlags) run(cmd *cobra.Command) error {
+	cfg := lab.Default()
+	if f.config != "" {
+		loaded, err := lab.Load(f.config)
+		if err != nil {
+			return err
+		}
+		cfg = *loaded
+	}
+	if f.print {
+		text, err := cfg.Print()
+		fmt.Fprint(cmd.OutOrStdout(), text)
+		return err
+	}
+	site, err := lab.Open(&cfg, f.data, f.images)
+	if err != nil {
+		return err
+	}
+	defer site.State.Close()
+	ctx, stop := context.WithCancel(cmd.Context())
+	defer stop()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return site.Run(ctx, launch) })
+	g.Go(func() error {
+		if f.job != "" {
+			defer stop()
+			return f.runJob(ctx, cmd, site)
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "site is at %s; hand a job in with: pepperlever submit --to %[1]s --team %s --estimate-s 5 --wait\n",
+			site.Front(), cfg.Teams[0].Name)
+		<-ctx.Done()
+		return nil
+	})
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// runJob hands a job in and follows it.
+func (f *labFlags) runJob(ctx context.Context, cmd *cobra.Command, site *lab.Site) error {
+	j, err := client.LoadJob(f.job)
+	if err != nil {
+		return err
+	}
+	if err := j.Fill(); err != nil {
+		return err
+	}
+	c, err := client.New(site.Front())
+	if err != nil {
+		return err
+	}
+	if _, err := c.Submit(ctx, j); err != nil {
+		return err
+	}
+	cmd.SetContext(ctx)
+	if err := (&jobFlags{}).follow(cmd, c, j.ID); err != nil {
+		return err
+	}
+	return showOutputs(cmd, site.Outputs(j.ID))
+}
+
+// showOutputs prints the first lines that the tasks of a job have written.
+func showOutputs(cmd *cobra.Command, dir string) error {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil || len(files) == 0 {
+		return err
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "output of %d tasks is in %s; the first:\n", len(files), dir)
+	raw, err := os.ReadFile(files[0])
+	fmt.Fprint(cmd.OutOrStdout(), string(raw))
+	return err
+}
+
+// launch runs a controller as a process of its own until ctx ends.
+func launch(ctx context.Context, _, settings string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	cmd := exec.CommandContext(ctx, self, "--config", settings)
+	cmd.Stderr = os.Stderr
+	cmd.Cancel = func() error { return cmd.Process.Signal(os.Interrupt) }
+	return cmd.Run()
+}
--- a/cmd/pepperlever/main.go
+++ b/cmd/pepperlever/main.go
@@ -23,9 +23,11 @@
 
 func main() {
 	setLogger()
-	if err := command().Execute(); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "pepperlever:", err)
-		os.Exit(exitSettings)
+		os.Exit(exitStatus(err))
 	}
 }
 
@@ -57,7 +59,7 @@
 			if f.config == "" {
 				return cmd.Help()
 			}
-			return f.serve()
+			return f.serve(cmd.Context())
 		},
 	}
 	root.PersistentFlags().StringVar(&f.config, "config", "", "the platform's settings file (TOML)")
@@ -82,6 +84,8 @@
 			},
 		},
 	)
+	root.AddCommand(jobCommands()...)
+	root.AddCommand(labCommand())
 	return root
 }
 
@@ -96,13 +100,11 @@
 
 // serve runs the daemon until it is told to stop. An end that is not asked for
 // is an error.
-func (f files) serve() error {
+func (f files) serve(ctx context.Context) error {
 	cfg, policy, err := f.load()
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	err = daemon.Run(ctx, cfg, policy)
 	if ctx.Err() != nil {
 		return nil
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -90,6 +90,11 @@
 			ctx.SetContentType("text/plain; charset=utf-8")
 			ctx.SetBody(a.metrics.text())
 		})
+	case path == protocol.PathList:
+		a.only(ctx, method, fasthttp.MethodGet, func(ctx *fasthttp.RequestCtx) {
+			after := string(ctx.QueryArgs().Peek(protocol.ArgAfter))
+			a.ask(ctx, func(req uint64) core.Command { return core.List{Req: req, After: after} })
+		})
 	case path == protocol.PathJobs:
 		a.only(ctx, method, fasthttp.MethodPost, func(ctx *fasthttp.RequestCtx) {
 			body := append([]byte(nil), ctx.PostBody()...)
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -40,6 +40,8 @@
 		return &core.Answer{Req: c.Req, Status: 200, Body: "status " + c.ID}
 	case core.Cancel:
 		return &core.Answer{Req: c.Req, Status: 200, Body: "cancel " + c.ID}
+	case core.List:
+		return &core.Answer{Req: c.Req, Status: 200, Body: "list after " + c.After}
 	case core.Health:
 		return &core.Answer{Req: c.Req, Status: 200}
 	case core.Beat:
@@ -56,6 +58,8 @@
 	}{
 		{"POST", "/work", "{}", 201, ""},
 		{"GET", "/work", "", 405, ""},
+		{"GET", "/jobs?since=req-7", "", 200, "list after req-7"},
+		{"POST", "/jobs", "", 405, ""},
 		{"GET", "/work/req-1", "", 200, "status req-1"},
 		{"DELETE", "/work/req-1", "", 405, ""},
 		{"POST", "/work/req-1/withdraw", "", 200, "cancel req-1"},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -151,6 +151,8 @@
 		c.status(m)
 	case Cancel:
 		c.cancel(m)
+	case List:
+		c.list(m)
 	case Health:
 		c.health(m)
 	case Beat:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -52,6 +52,26 @@
 	}
 }
 
+func TestListHoldsEveryJobOncePageByPage(t *testing.T) {
+	const jobs = 2*protocol.JobsPage + 1
+	c := busyCore(10 * jobs)
+	var got []string
+	for after, more := "", true; more; {
+		c.effects = nil
+		c.handle(List{Req: 1, After: after})
+		page := c.effects[0].(Answer).Body.(protocol.JobList)
+		for _, j := range page.Jobs {
+			if got = append(got, j.ID); j.Team == "" || j.Tasks != 10 {
+				t.Fatalf("row %+v", j)
+			}
+		}
+		after, more = got[len(got)-1], page.More
+	}
+	if slices.Sort(got); len(slices.Compact(got)) != jobs {
+		t.Errorf("%d of %d jobs listed", len(got), jobs)
+	}
+}
+
 func TestRepeatedSubmissionGetsTheCurrentStateForever(t *testing.T) {
 	w := newWorld(t).ready()
 	accepted(t, w.submit("a", "req-blue-1", 1, ""))
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -31,6 +31,12 @@
 		Req uint64
 		ID  string
 	}
+	// List asks for a page of the jobs that have not ended, as this node last
+	// heard of them, beginning after an id.
+	List struct {
+		Req   uint64
+		After string
+	}
 	// Health asks whether this node can take requests.
 	Health struct{ Req uint64 }
 	// Beat is a worker's report.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 
@@ -164,6 +165,31 @@
 	}
 }
 
+// list tells an operator of the jobs that have not ended, from the replica: it may
+// lag, and no rule depends on it.
+func (c *Core) list(m List) {
+	if !c.loaded {
+		c.unavailable(m.Req)
+		return
+	}
+	out := protocol.JobList{Jobs: []protocol.JobRow{}}
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		if id <= m.After {
+			continue
+		}
+		if out.More = len(out.Jobs) == protocol.JobsPage; out.More {
+			break
+		}
+		j := c.jobs[id]
+		row := protocol.JobRow{JobState: c.display(id), Team: j.Team, Class: j.Class, Priority: protocol.Priorities[j.Priority], Tasks: j.Tasks}
+		if j.Cancelled {
+			row.State = protocol.Cancelled
+		}
+		out.Jobs = append(out.Jobs, row)
+	}
+	c.answer(m.Req, http.StatusOK, out)
+}
+
 // display is what the user of a job that is not final is told of its progress.
 func (c *Core) display(id string) protocol.JobState {
 	s := protocol.JobState{ID: id, State: protocol.Queued}
--- /dev/null
+++ b/internal/lab/config.go
@@ -0,0 +1,137 @@
+package lab
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"pepperlever/internal/settings"
+)
+
+// Config is what a lab site is made of. Times are in seconds, sizes in GB, prices
+// an hour.
+type Config struct {
+	// Front is the users' address.
+	Front string `toml:"front" comment:"the users' address; 0 as the port takes any that is free"`
+	// Controllers is how many run, each as a process of its own.
+	Controllers int      `toml:"controllers" comment:"how many controllers run, each as a process of its own"`
+	Zones       []string `toml:"zones" comment:"controllers and machines are spread over these"`
+	// Speed divides the times that tasks, image fetches and boots take.
+	Speed   float64         `toml:"speed" comment:"divides the times that tasks, image fetches and boots take"`
+	Seed    uint64          `toml:"seed" comment:"of the boots, of the spot machines that are taken back, and of stale lists"`
+	Teams   []settings.Team `toml:"teams" comment:"cpus and gpus are guaranteed; a limit (max) of 0 means none"`
+	Types   []Type          `toml:"machine_types" comment:"count and spot are what the cloud has in each zone"`
+	Workers Workers         `toml:"workers" comment:"seconds, not divided by speed"`
+	State   StateLimits     `toml:"state" comment:"requests and changes a second, KiB, changes a transaction"`
+	Cloud   CloudLimits     `toml:"cloud" comment:"calls a second; list_lag_s is how old a list is, sometimes twice that"`
+}
+
+// Type is a machine type, with how many machines of it the cloud has in each zone.
+type Type struct {
+	Name      string  `toml:"name"`
+	CPUs      float64 `toml:"cpus"`
+	GPUs      float64 `toml:"gpus"`
+	MemoryGB  float64 `toml:"memory_gb"`
+	CacheGB   float64 `toml:"cache_gb"`
+	FetchGBPS float64 `toml:"fetch_gb_per_s"`
+	Price     float64 `toml:"price"`
+	SpotPrice float64 `toml:"spot_price"`
+	BootS     float64 `toml:"boot_s"`
+	Count     int     `toml:"count"`
+	Spot      int     `toml:"spot"`
+}
+
+// Workers is how workers behave.
+type Workers struct {
+	ReportS   float64 `toml:"report_s"`
+	LeaseS    float64 `toml:"lease_s"`
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
+	CancelS   float64 `toml:"cancel_s"`
+}
+
+// CloudLimits is how the cloud behaves.
+type CloudLimits struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+	// BootFail is the part of machines that never come up, SpotPerHour how often
+	// an hour a spot machine is taken back, NoticeS how long before it is told.
+	BootFail    float64 `toml:"boot_fail"`
+	SpotPerHour float64 `toml:"spot_per_hour"`
+	NoticeS     float64 `toml:"notice_s"`
+}
+
+// Default is a small site that gets work done within seconds.
+func Default() Config {
+	return Config{
+		Front: "127.0.0.1:8700", Controllers: 3, Zones: []string{"north", "south"}, Speed: 1, Seed: 1,
+		Teams: []settings.Team{{Name: "builders", CPUs: 16, CPUsMax: 64}, {Name: "guests", CPUs: 8, CPUsMax: 32}},
+		Types: []Type{
+			{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 2, Price: 0.2, SpotPrice: 0.07, BootS: 1, Count: 8, Spot: 8},
+			{Name: "large", CPUs: 16, MemoryGB: 64, CacheGB: 40, FetchGBPS: 4, Price: 0.9, SpotPrice: 0.3, BootS: 2, Count: 4, Spot: 4},
+		},
+		Workers: Workers{ReportS: 1, LeaseS: 8, GangWaitS: 15, GangPeerS: 2, CancelS: 15},
+		State:   StateLimits{RPS: 500, WriteRPS: 200, ValueKB: 8, TxnOps: 16},
+		Cloud:   CloudLimits{RPS: 10, ListLagS: 2, NoticeS: 10},
+	}
+}
+
+// Load reads a site's file over the defaults. A key that it does not know is an
+// error, told in one line.
+func Load(path string) (*Config, error) {
+	c := Default()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	d := toml.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	err = d.Decode(&c)
+	var strict *toml.StrictMissingError
+	switch {
+	case errors.As(err, &strict):
+		at, _ := strict.Errors[0].Position()
+		return nil, fmt.Errorf("%s: line %d: unknown key %v", path, at, strict.Errors[0].Key())
+	case err != nil:
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &c, nil
+}
+
+func (c *Config) check() error {
+	for name, v := range map[string]float64{"controllers": float64(c.Controllers), "zones": float64(len(c.Zones)),
+		"speed": c.Speed, "machine_types": float64(len(c.Types)), "cloud.rps": c.Cloud.RPS} {
+		if v <= 0 {
+			return fmt.Errorf("%s is missing or not positive", name)
+		}
+	}
+	for i, t := range c.Types {
+		if t.Name == "" || t.CPUs <= 0 || t.MemoryGB <= 0 || t.FetchGBPS <= 0 || t.Count < 0 || t.Spot < 0 {
+			return fmt.Errorf("machine type %d (%q): name, cpus, memory_gb and fetch_gb_per_s must be given, counts not negative", i+1, t.Name)
+		}
+		if slices.ContainsFunc(c.Types[:i], func(o Type) bool { return o.Name == t.Name }) {
+			return fmt.Errorf("machine type %q is named twice", t.Name)
+		}
+	}
+	return nil
+}
+
+// Print is the site as a file.
+func (c *Config) Print() (string, error) {
+	var out bytes.Buffer
+	e := toml.NewEncoder(&out)
+	e.SetArraysMultiline(false)
+	err := e.Encode(c)
+	return out.String(), err
+}
+
+// scaled is how long something that takes s seconds takes here.
+func (c *Config) scaled(s float64) time.Duration { return seconds(s / c.Speed) }
--- /dev/null
+++ b/internal/lab/site.go
@@ -0,0 +1,121 @@
+package lab
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Site is a whole site but for its controllers: state service, cloud, workers and
+// the users' front door, all on loopback.
+type Site struct {
+	cfg   *Config
+	State *State
+	start time.Time
+	// out is the folder of the tasks' output.
+	out string
+
+	mu    sync.Mutex
+	cloud *Cloud
+	fleet *Fleet
+
+	front, cloudLn, stateLn net.Listener
+	controllers             []*controller
+	// workers ends each worker's loop when its machine is gone.
+	workers map[string]context.CancelFunc
+	group   *errgroup.Group
+}
+
+// tick is how often time passes for machines and tasks.
+const tick = 20 * time.Millisecond
+
+// Open makes a site and its listeners. dir keeps its state between runs, images
+// holds programs that tasks run; either may be empty.
+func Open(cfg *Config, dir, images string) (*Site, error) {
+	s := &Site{cfg: cfg, start: time.Now(), workers: map[string]context.CancelFunc{}, out: outputs(dir)}
+	var runner Runner
+	if images != "" {
+		runner = &programs{site: s, images: images}
+	}
+	s.fleet = NewFleet(cfg, runner)
+	var err error
+	if s.State, err = NewState(cfg.State, dir); err != nil {
+		return nil, err
+	}
+	jobs, machines, err := s.State.disk.kept()
+	if err != nil {
+		return nil, err
+	}
+	s.cloud = NewCloud(cfg, machines)
+	for _, j := range jobs {
+		s.fleet.Upload(j)
+	}
+	for _, l := range []struct {
+		ln   *net.Listener
+		addr string
+	}{{&s.front, cfg.Front}, {&s.cloudLn, loopback}, {&s.stateLn, loopback}} {
+		if *l.ln, err = net.Listen("tcp4", l.addr); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+const loopback = "127.0.0.1:0"
+
+// Front is the users' address.
+func (s *Site) Front() string { return s.front.Addr().String() }
+
+// Run serves until ctx ends or a part of the site fails. launch starts the
+// controller with the settings file, and returns when it has ended.
+func (s *Site) Run(ctx context.Context, launch func(ctx context.Context, node, settings string) error) error {
+	if err := s.place(); err != nil {
+		return err
+	}
+	s.group, ctx = errgroup.WithContext(ctx)
+	s.group.Go(func() error { return s.State.Run(ctx, s.stateLn) })
+	s.group.Go(func() error { return serve(ctx, s.cloudLn, s.handleCloud) })
+	s.group.Go(func() error { return serve(ctx, s.front, s.handleFront) })
+	s.group.Go(func() error { return every(ctx, tick, func() { s.advance(ctx) }) })
+	s.group.Go(func() error { return every(ctx, probeEvery, s.probe) })
+	for _, c := range s.controllers {
+		s.group.Go(func() error { return s.keep(ctx, c, launch) })
+	}
+	err := s.group.Wait()
+	if ctx.Err() != nil && err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for id := range s.fleet.machines {
+			s.fleet.Remove(id)
+		}
+	}
+	return err
+}
+
+func (s *Site) now() time.Duration { return time.Since(s.start) }
+
+// advance lets the time pass, and starts and ends the workers of machines that
+// come and go.
+func (s *Site) advance(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.fleet.Advance(now)
+	for _, ch := range s.cloud.Advance(now) {
+		switch {
+		case ch.Gone:
+			s.fleet.Remove(ch.Machine)
+			if stop := s.workers[ch.Machine]; stop != nil {
+				stop()
+				delete(s.workers, ch.Machine)
+			}
+		case ch.Up:
+			s.hire(ctx, now, ch)
+		case ch.Notice > 0:
+			s.fleet.Notice(ch.Machine, ch.Notice)
+		}
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -12,6 +12,7 @@
 	PathHealth   = "/up"
 	PathReport   = "/agent/beat"
 	PathMetrics  = "/metrics"
+	PathList     = "/jobs"
 	PathCommands = "/do"
 	PathTypes    = "/catalog"
 	PathMachines = "/rentals"
@@ -94,6 +95,25 @@
 	Running int    `json:"running"`
 }
 
+// JobRow is a job in a list, and JobList a page of them; the protocol of the users
+// has none, this one is for operators.
+type JobRow struct {
+	JobState
+	Team     string `json:"crew"`
+	Class    string `json:"leverClass"`
+	Priority string `json:"urgency"`
+	Tasks    int    `json:"pieces"`
+}
+
+// JobList is one page of the jobs that have not ended.
+type JobList struct {
+	Jobs []JobRow `json:"rows"`
+	More bool     `json:"truncated"`
+}
+
+// JobsPage is how many jobs a page has; it keeps the answer's line within bounds.
+const JobsPage = 200
+
 // Problem tells what was wrong with a request.
 type Problem struct {
 	Error string `json:"error"`
