--- a/cmd/pepperlever/lab.go
+++ b/cmd/pepperlever/lab.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"time"
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
@@ -18,7 +19,8 @@
 // labFlags are the flags of the lab.
 type labFlags struct {
 	config, data, images, job string
-	print                     bool
+	print, two, cut, measure  bool
+	link                      time.Duration
 }
 
 func labCommand() *cobra.Command {
@@ -34,6 +36,10 @@
 	fl.StringVar(&f.data, "data", "", "folder that keeps the state, and the tasks' output, between runs")
 	fl.StringVar(&f.images, "images", "", "folder of images: a folder each, with an executable run")
 	fl.StringVar(&f.job, "job", "", "run the job of this file to its end, then stop the site")
+	fl.BoolVar(&f.two, "two-sites", false, "run two sites that hand jobs of class goes from the first to the second")
+	fl.DurationVar(&f.link, "link", 0, "how long a message takes between the two sites")
+	fl.BoolVar(&f.cut, "cut-every-stage", false, "with two sites: cause every trouble at every message of a hand-off, count runs and answers, then stop")
+	fl.BoolVar(&f.measure, "measure", false, "with two sites: measure hand-offs a second, added latency and recovery, then stop")
 	fl.BoolVar(&f.print, "print-config", false, "print the site's file with all defaults, and stop")
 	return cmd
 }
@@ -52,6 +58,9 @@
 		fmt.Fprint(cmd.OutOrStdout(), text)
 		return err
 	}
+	if f.two || f.cut || f.measure {
+		return f.runPair(cmd, &cfg)
+	}
 	site, err := lab.Open(&cfg, f.data, f.images)
 	if err != nil {
 		return err
@@ -77,6 +86,36 @@
 	return nil
 }
 
+// runPair runs two sites, for what is asked of them or until it is interrupted.
+func (f *labFlags) runPair(cmd *cobra.Command, cfg *lab.Config) error {
+	pair, err := lab.OpenPair(cfg, f.data, f.images, f.link)
+	if err != nil {
+		return err
+	}
+	defer pair.Close()
+	ctx, stop := context.WithCancel(cmd.Context())
+	defer stop()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return pair.Run(ctx, launch) })
+	g.Go(func() error {
+		defer stop()
+		switch {
+		case f.cut:
+			return pair.CutEveryStage(ctx, cmd.OutOrStdout())
+		case f.measure:
+			return pair.Measure(ctx, cmd.OutOrStdout())
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "sites are at %s and %s; hand a job in that goes over with: pepperlever submit --to %[1]s --team %[3]s --class %[4]s --estimate-s 5 --wait\n",
+			pair.Sites[0].Front(), pair.Sites[1].Front(), cfg.Teams[0].Name, lab.Goes)
+		<-ctx.Done()
+		return nil
+	})
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
 // runJob hands a job in and follows it.
 func (f *labFlags) runJob(ctx context.Context, cmd *cobra.Command, site *lab.Site) error {
 	j, err := client.LoadJob(f.job)
@@ -112,14 +151,14 @@
 	return err
 }
 
-// launch runs a controller as a process of its own until ctx ends.
-func launch(ctx context.Context, _, settings string) error {
+// launch runs a controller as a process of its own until ctx ends. It is killed
+// then, as a site has to bear that.
+func launch(ctx context.Context, settings, gateway string) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	cmd := exec.CommandContext(ctx, self, "--config", settings)
+	cmd := exec.CommandContext(ctx, self, "--config", settings, "--gateway", gateway)
 	cmd.Stderr = os.Stderr
-	cmd.Cancel = func() error { return cmd.Process.Signal(os.Interrupt) }
 	return cmd.Run()
 }
--- a/cmd/pepperlever/main.go
+++ b/cmd/pepperlever/main.go
@@ -44,7 +44,7 @@
 }
 
 // files names what the operator hands over.
-type files struct{ config, policy string }
+type files struct{ config, policy, gateway string }
 
 func command() *cobra.Command {
 	var f files
@@ -65,6 +65,8 @@
 	root.PersistentFlags().StringVar(&f.config, "config", "", "the platform's settings file (TOML)")
 	root.PersistentFlags().StringVar(&f.policy, "policy", os.Getenv("PEPPERLEVER_POLICY"),
 		"the operator's script (Starlark); PEPPERLEVER_POLICY names it too")
+	root.PersistentFlags().StringVar(&f.gateway, "gateway", os.Getenv("PEPPERLEVER_GATEWAY"),
+		"the gateway's file (TOML), which switches hand-offs between sites on; PEPPERLEVER_GATEWAY names it too")
 	root.AddCommand(
 		&cobra.Command{
 			Use: "version", Short: "Print the version", Args: cobra.NoArgs,
@@ -86,6 +88,7 @@
 	)
 	root.AddCommand(jobCommands()...)
 	root.AddCommand(labCommand())
+	root.AddCommand(gatewayCommand())
 	return root
 }
 
@@ -105,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	err = daemon.Run(ctx, cfg, policy)
+	err = daemon.Run(ctx, cfg, policy, f.gateway)
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -23,6 +23,8 @@
 	// offer hands a command to the core unless its queue is full.
 	offer   func(core.Command) bool
 	metrics metrics
+	// refused counts what was refused of other sites; nil without a gateway.
+	refused func() int64
 
 	mu    sync.Mutex
 	next  uint64
@@ -34,6 +36,10 @@
 	return &API{cfg: cfg, offer: offer, metrics: newMetrics(), waits: map[uint64]chan core.Answer{}}
 }
 
+// WithGateway adds the gateway to the metrics and to what operators may ask; refused
+// counts what was refused of other sites. It is called before Run.
+func (a *API) WithGateway(refused func() int64) { a.refused = refused }
+
 // Run serves until ctx ends.
 func (a *API) Run(ctx context.Context) error {
 	ln, err := net.Listen("tcp4", a.cfg.Listen)
@@ -88,13 +94,15 @@
 	case path == protocol.PathMetrics:
 		a.only(ctx, method, fasthttp.MethodGet, func(ctx *fasthttp.RequestCtx) {
 			ctx.SetContentType("text/plain; charset=utf-8")
-			ctx.SetBody(a.metrics.text())
+			ctx.SetBody(append(a.metrics.text(), a.gatewayMetrics()...))
 		})
 	case path == protocol.PathList:
 		a.only(ctx, method, fasthttp.MethodGet, func(ctx *fasthttp.RequestCtx) {
 			after := string(ctx.QueryArgs().Peek(protocol.ArgAfter))
 			a.ask(ctx, func(req uint64) core.Command { return core.List{Req: req, After: after} })
 		})
+	case a.refused != nil && strings.HasPrefix(path, protocol.PathGateway+"/"):
+		a.gateway(ctx, method, core.AskOp(strings.TrimPrefix(path, protocol.PathGateway+"/")))
 	case path == protocol.PathJobs:
 		a.only(ctx, method, fasthttp.MethodPost, func(ctx *fasthttp.RequestCtx) {
 			body := append([]byte(nil), ctx.PostBody()...)
@@ -145,21 +153,26 @@
 // behind sheds new requests at once.
 func (a *API) ask(ctx *fasthttp.RequestCtx, command func(req uint64) core.Command) {
 	start := time.Now()
+	ans := a.await(command)
+	a.metrics.note(string(ctx.Path()), ans.Status, time.Since(start))
+	reply(ctx, ans)
+}
+
+// await is the core's answer to a command, or a request to come back.
+func (a *API) await(command func(req uint64) core.Command) core.Answer {
 	id, ch := a.expect()
 	if !a.offer(command(id)) {
 		a.Answer(later(id))
 	}
 	timer := time.NewTimer(a.patience())
 	defer timer.Stop()
-	var ans core.Answer
 	select {
-	case ans = <-ch:
+	case ans := <-ch:
+		return ans
 	case <-timer.C:
 		a.forget(id)
-		ans = later(id)
+		return later(id)
 	}
-	a.metrics.note(string(ctx.Path()), ans.Status, time.Since(start))
-	reply(ctx, ans)
 }
 
 // later asks the client to come back.
--- a/internal/core/blame.go
+++ b/internal/core/blame.go
@@ -96,6 +96,9 @@
 // allowance is how many more tasks of a job may be placed now: a suspected one
 // has one at a time.
 func (c *Core) allowance(j *job.Job) int {
+	if c.away(j.ID) {
+		return 0
+	}
 	if j.Suspected && j.Kind != job.Gang {
 		return max(0, min(j.Waiting(), 1-len(j.Bound)))
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,8 @@
 	finals  map[string]protocol.JobState
 	// goneAt holds the revisions that ended jobs.
 	goneAt map[string]uint64
+	// sites mirrors the hand-offs to and from other sites.
+	sites siteRecords
 
 	// Machines.
 	types    map[string]protocol.MachineType
@@ -69,6 +71,9 @@
 	peers   map[string]*peerState
 	storeOK bool
 
+	// gate is this site's gateway to others, nil without one.
+	gate *gate
+
 	sched  schedState
 	rental rentState
 	timers timers
@@ -108,7 +113,7 @@
 		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, goneAt: map[string]uint64{},
 		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{}, zoneSeen: map[string]time.Duration{},
 		peers: map[string]*peerState{}, storeOK: true,
-		sched: newSchedState(), rental: newRentState(), spread: newSpread(),
+		sites: newSiteRecords(), sched: newSchedState(), rental: newRentState(), spread: newSpread(),
 	}
 	for _, t := range cfg.Params.Teams {
 		c.addTeam(&team{Team: t, key: keyHome + teamPart(t.Name), jobs: map[string]*job.Job{}})
@@ -136,6 +141,7 @@
 		c.handle(cmd)
 	}
 	c.periodic()
+	c.runGate()
 	c.schedule()
 	c.askStore()
 	c.shareClaims()
@@ -188,6 +194,12 @@
 		c.rented(m)
 	case Released:
 		c.released(m)
+	case SiteIn:
+		c.siteIn(m.Message)
+	case SiteConfig:
+		c.siteConfig(m.Config)
+	case SiteAsk:
+		c.siteAsk(m)
 	default:
 		panic(fmt.Sprintf("core: unknown command %T", cmd))
 	}
--- /dev/null
+++ b/internal/core/gate.go
@@ -0,0 +1,373 @@
+package core
+
+import (
+	"cmp"
+	"hash/fnv"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/gateway"
+	"pepperlever/internal/protocol"
+)
+
+// gate joins the machine of hand-offs to the core. It runs on one controller at a
+// time: the home of the gateway's own pseudo team.
+type gate struct {
+	cfg     *gateway.Config
+	team    *team
+	machine *gateway.Machine
+	inputs  []gateway.Input
+	// inFlight holds the machine's writes that are not answered; foreign the
+	// revisions at which its records changed otherwise, as far as known.
+	inFlight map[uint64]bool
+	foreign  map[uint64]bool
+	// loadAt is when the machine is to get all records again, 0 for not at all.
+	loadAt       time.Duration
+	tickAt, feed time.Duration
+	// asking holds the accepted jobs whose end is being asked for.
+	asking map[string]bool
+	// asked holds operators' questions, by the number that the machine answers to.
+	asked  map[uint64]operator
+	nextID uint64
+}
+
+// operator is where an operator's question came from.
+type operator struct {
+	node string
+	req  uint64
+}
+
+// Join switches the gateway on. It is called before the first Step.
+func (c *Core) Join(cfg *gateway.Config) {
+	c.gate = &gate{cfg: cfg, team: &team{key: keyGate, jobs: map[string]*job.Job{}},
+		inFlight: map[uint64]bool{}, foreign: map[uint64]bool{}, asking: map[string]bool{}, asked: map[uint64]operator{}}
+	c.gate.team.Name = "gateway"
+	c.gate.limit(c)
+}
+
+// limit sets what follows from the state service's limits.
+func (g *gate) limit(c *Core) { g.cfg.Drops = c.cfg.Params.State.TxnOps - 1 }
+
+// open starts the machine, as this node has become its home: the mirror holds all
+// that an earlier one has stored.
+func (g *gate) open(c *Core) {
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(c.inc)) // never fails
+	g.machine = gateway.New(g.cfg, seed.Sum64()+g.team.version)
+	clear(g.inFlight)
+	clear(g.foreign)
+	clear(g.asking)
+	g.inputs, g.loadAt = []gateway.Input{gateway.Loaded{Records: c.sites.Records}}, 0
+}
+
+// siteChanged notes a change of the records that did not come with the answer to a
+// write; if no such answer tells of it later the machine reads them again.
+func (c *Core) siteChanged(revision uint64) {
+	if g := c.gate; g != nil && g.machine != nil {
+		g.foreign[revision] = true
+	}
+}
+
+// runGate hands the machine what has happened and carries its effects out.
+func (c *Core) runGate() {
+	g := c.gate
+	if g == nil || g.machine == nil || !c.loaded {
+		return
+	}
+	if c.every(&g.feed, c.reportInterval()/6) {
+		c.feedGate()
+	}
+	if len(g.inFlight) == 0 && (len(g.foreign) > 0 || g.loadAt > 0 && c.now.Steady >= g.loadAt) {
+		clear(g.foreign)
+		g.loadAt = 0
+		g.inputs = append(g.inputs, gateway.Loaded{Records: c.sites.Records})
+	}
+	for len(g.inputs) > 0 || c.every(&g.tickAt, c.reportInterval()/30) {
+		in := g.inputs
+		g.inputs = nil
+		for _, e := range g.machine.Step(c.now.Steady, in...) {
+			c.gateEffect(e)
+		}
+		if g.machine == nil {
+			return
+		}
+	}
+}
+
+func (c *Core) gateEffect(e gateway.Effect) {
+	g := c.gate
+	switch e := e.(type) {
+	case gateway.Store:
+		c.siteStore(e)
+	case gateway.Reload:
+		g.loadAt = c.now.Steady + c.reportInterval()/6
+	case gateway.Send:
+		if k, ok := c.sites.Taken[gateway.Hold{Origin: e.Message.To, Epoch: e.Message.Epoch}]; ok && e.Message.Accepted {
+			s := c.display(k.Local)
+			e.Message.Done, e.Message.Running = s.Done, s.Running
+		}
+		c.emit(SendSite{Message: e.Message})
+	case gateway.CancelHere:
+		c.cancel(Cancel{ID: e.Local})
+	case gateway.Answer:
+		c.siteAnswer(e)
+	case gateway.Log:
+		level := Info
+		if e.Bad {
+			level = Error
+		}
+		c.log(level, e.Text, e.Attrs...)
+	}
+}
+
+// siteIn takes a message of another site to the gateway's home.
+func (c *Core) siteIn(m gateway.Message) {
+	g := c.gate
+	if g == nil {
+		return
+	}
+	if g.machine == nil {
+		if g.team.home != "" && g.team.home != c.cfg.Node {
+			c.sendPeer(g.team.home, PeerMsg{Site: &SiteNote{Message: &m}})
+		}
+		return
+	}
+	in := gateway.Received{Message: m}
+	if m.Kind == gateway.Offered && m.Ticket != nil {
+		if c.types == nil {
+			return // it is offered again
+		}
+		in.Unfit = c.unfit(m.Ticket)
+	}
+	if job, ok := c.awayUnder(m); ok && m.Kind == gateway.Decided && m.Accepted {
+		c.progressed(job, progress{m.Done, m.Running})
+		c.broadcast(PeerMsg{Site: &SiteNote{Job: job, Done: m.Done, Running: m.Running}})
+	}
+	g.inputs = append(g.inputs, in)
+}
+
+// awayUnder finds the job that a message is about.
+func (c *Core) awayUnder(m gateway.Message) (string, bool) {
+	return c.gate.machine.Job(m.From, m.Epoch)
+}
+
+// progressed notes how a job that is away gets on. What was done stays done.
+func (c *Core) progressed(id string, p progress) {
+	if _, away := c.sites.Away[id]; away {
+		p.Done = max(p.Done, c.sites.progress[id].Done)
+		c.sites.progress[id] = p
+	}
+}
+
+// unfit tells why a job of another site can never run here, or nothing.
+func (c *Core) unfit(t *gateway.Ticket) string {
+	s, err := job.Parse(t.Body, c.specBytes())
+	if err != nil {
+		return err.Error()
+	}
+	return c.neverRuns(c.teamBy[s.Team], s)
+}
+
+// specBytes is how long a stored description may be.
+func (c *Core) specBytes() int { return int(c.cfg.Params.State.ValueKB*1024) / 4 }
+
+// elsewhere tells whether a job that can never run here may go to a site that has
+// what it asks for.
+func (c *Core) elsewhere(s *job.Spec) bool {
+	return c.gate != nil && c.gate.cfg.Elsewhere(s.Class, s.Zone, s.Types)
+}
+
+// feedGate tells the machine which jobs wait, and which accepted ones have ended.
+func (c *Core) feedGate() {
+	g := c.gate
+	w := gateway.Waiting{}
+	var jobs []*job.Job
+	for _, t := range c.teams {
+		for _, j := range t.jobs {
+			if !c.untouched(j) {
+				continue
+			}
+			if waited := c.now.Steady - j.WaitingSince; !j.Suspected && !lowest(j) {
+				w.WaitS = max(w.WaitS, waited.Seconds())
+			}
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job.Job) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(dueAt(a), dueAt(b)), cmp.Compare(a.ID, b.ID))
+	})
+	if c.everyNodeKnows() {
+		for _, j := range jobs {
+			if len(w.Jobs) == mostOffered {
+				break
+			}
+			never := c.types != nil && c.neverRuns(c.teamBy[j.Team], &j.Spec) != ""
+			if waited := c.now.Steady - j.WaitingSince; never || g.cfg.Goes(j.Class, waited) {
+				w.Jobs = append(w.Jobs, c.offerable(j, waited, never))
+			}
+		}
+	}
+	g.inputs = append(g.inputs, w)
+	for _, k := range c.sites.Taken {
+		if k.Accepted && k.State == "" && !g.asking[k.Local] && (c.jobs[k.Local] == nil || c.jobs[k.Local].Cancelled) {
+			g.asking[k.Local] = true
+			c.inquire(k.Local, func(f finding, s protocol.JobState) {
+				delete(g.asking, k.Local)
+				if f == final && g.machine != nil {
+					g.inputs = append(g.inputs, gateway.EndedHere{Local: k.Local, State: s.State})
+				}
+			})
+		}
+	}
+}
+
+// mostOffered is how many jobs are weighed at a time; more come next time.
+const mostOffered = 64
+
+// untouched tells whether nothing of a job was ever bound: only such are handed off.
+func (c *Core) untouched(j *job.Job) bool {
+	return j.Attempt == 0 && len(j.Bound) == 0 && !j.Cancelled && !j.InFlight && j.Version > 0 && !c.away(j.ID)
+}
+
+// everyNodeKnows tells whether all live controllers keep away from jobs that are
+// away.
+func (c *Core) everyNodeKnows() bool {
+	for _, n := range c.nodes {
+		if !n.Gate {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) offerable(j *job.Job, waited time.Duration, never bool) gateway.Job {
+	out := gateway.Job{ID: j.ID, Class: j.Class, Waited: waited, Zone: j.Zone, Types: j.Types, Elsewhere: never}
+	if h, ok := gateway.ParseLocal(j.ID); ok {
+		out.Path = c.sites.Taken[h].Path
+	}
+	s := j.Spec
+	if s.DeadlineS > 0 { // clocks of sites differ, so what is left is told
+		s.DeadlineS = max(1, s.DeadlineS-float64(c.now.Wall-s.Accepted)/1000)
+	}
+	out.Body = raw(s.Submission())
+	return out
+}
+
+// cancelAway has the far site asked for the end of a job. The user is told when it
+// has one.
+func (c *Core) cancelAway(m Cancel) {
+	c.unavailable(m.Req)
+	c.toGate(SiteNote{Cancel: m.ID})
+}
+
+// toGate passes something to the gateway's home.
+func (c *Core) toGate(n SiteNote) {
+	g := c.gate
+	switch {
+	case g == nil || g.team.home == "":
+	case g.machine != nil:
+		c.siteNote(c.cfg.Node, n)
+	default:
+		c.sendPeer(g.team.home, PeerMsg{Site: &n})
+	}
+}
+
+// siteNote takes what another controller says about the gateway.
+func (c *Core) siteNote(from string, n SiteNote) {
+	g := c.gate
+	switch {
+	case g == nil:
+	case n.Message != nil:
+		if g.machine != nil { // it is not passed on a second time
+			c.siteIn(*n.Message)
+		}
+	case n.Job != "":
+		c.progressed(n.Job, progress{n.Done, n.Running})
+	case n.Cancel != "" && g.machine != nil:
+		g.inputs = append(g.inputs, gateway.Cancel{Job: n.Cancel})
+	case n.Ask != nil && g.machine != nil:
+		c.siteOperate(operator{from, n.Ask.Req}, *n.Ask)
+	case n.Told != nil:
+		c.answer(n.Told.Req, n.Told.Status, json.RawMessage(n.Told.Body))
+	}
+}
+
+// siteAsk takes an operator's question or word to the gateway's home.
+func (c *Core) siteAsk(m SiteAsk) {
+	g := c.gate
+	switch {
+	case g == nil:
+		c.answer(m.Req, http.StatusNotFound, protocol.Problem{Error: "this controller has no gateway"})
+	case m.Op == AskHandOffs:
+		c.answer(m.Req, http.StatusOK, gateway.HandOffs(&c.sites.Records))
+	case g.machine != nil:
+		c.siteOperate(operator{c.cfg.Node, m.Req}, m)
+	case g.team.home == "":
+		c.unavailable(m.Req)
+	default:
+		c.sendPeer(g.team.home, PeerMsg{Site: &SiteNote{Ask: &m}})
+	}
+}
+
+// siteOperate answers a question at the gateway's home, or hands the word on.
+func (c *Core) siteOperate(q operator, m SiteAsk) {
+	g := c.gate
+	if m.Op == AskStatus {
+		c.siteTell(q, http.StatusOK, SiteStatus{Node: c.cfg.Node, Status: g.machine.Status()})
+		return
+	}
+	if len(g.asked) >= mostOffered {
+		clear(g.asked) // their clients have long gone
+	}
+	g.nextID++
+	g.asked[g.nextID] = q
+	switch m.Op {
+	case AskGiveUp:
+		g.inputs = append(g.inputs, gateway.GiveUp{Req: g.nextID, Job: m.Name, Operator: m.Operator, Why: m.Why})
+	case AskDrain:
+		g.inputs = append(g.inputs, gateway.Drain{Req: g.nextID, Site: gateway.Site(m.Name), On: m.On})
+	case AskRenew:
+		g.inputs = append(g.inputs, gateway.Renew{Req: g.nextID, Site: gateway.Site(m.Name), Operator: m.Operator, Why: m.Why})
+	}
+}
+
+// siteAnswer ends an operator's question; users were answered at once.
+func (c *Core) siteAnswer(a gateway.Answer) {
+	q, ok := c.gate.asked[a.Req]
+	if !ok {
+		return
+	}
+	delete(c.gate.asked, a.Req)
+	if a.Err != "" {
+		c.siteTell(q, http.StatusConflict, protocol.Problem{Error: a.Err})
+		return
+	}
+	c.siteTell(q, http.StatusOK, SiteWord{Said: a.State})
+}
+
+func (c *Core) siteTell(q operator, status int, body any) {
+	if q.node == c.cfg.Node {
+		c.answer(q.req, status, body)
+		return
+	}
+	c.sendPeer(q.node, PeerMsg{Site: &SiteNote{Told: &SiteTold{Req: q.req, Status: status, Body: raw(body)}}})
+}
+
+// siteConfig takes the operator's file, read again.
+func (c *Core) siteConfig(cfg *gateway.Config) {
+	g := c.gate
+	if g == nil || cfg.Site != g.cfg.Site {
+		c.log(Error, "gateway file is not taken: the site's name may not change")
+		return
+	}
+	g.cfg = cfg
+	g.limit(c)
+	if g.machine != nil {
+		g.inputs = append(g.inputs, gateway.Configured{Config: cfg})
+	}
+	c.log(Info, "gateway file taken", "peers", len(cfg.Peers), "classes", len(cfg.Class))
+}
--- /dev/null
+++ b/internal/core/gatestore.go
@@ -0,0 +1,188 @@
+package core
+
+import (
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/gateway"
+	"pepperlever/internal/protocol"
+)
+
+// siteStore carries out one write of the gateway: a transaction on the condition
+// that this node is still its home, and on the records as the mirror has them.
+func (c *Core) siteStore(s gateway.Store) {
+	g := c.gate
+	machine := g.machine
+	txn, ok := c.siteTxn(s.Write)
+	if !ok {
+		g.inputs = append(g.inputs, gateway.Stored{ID: s.ID, Outcome: gateway.Conflict})
+		return
+	}
+	txn.If = append(txn.If, g.team.held())
+	g.inFlight[s.ID] = true
+	c.txn(txn, true, func(r StoreReply) {
+		if g.machine != machine {
+			return // this node has been deposed since; the mirror follows the watch
+		}
+		delete(g.inFlight, s.ID)
+		out := gateway.Stored{ID: s.ID, Outcome: gateway.Unknown}
+		switch r.Outcome {
+		case Applied:
+			out.Outcome = gateway.Applied
+			c.mirror(txn.Then, r.Revision)
+			delete(g.foreign, r.Revision)
+			c.handOver(s.Write, r.Revision)
+		case Conflict:
+			out.Outcome = gateway.Conflict
+		}
+		g.inputs = append(g.inputs, out)
+	})
+}
+
+// mirror applies the changes of a transaction ahead of the watch.
+func (c *Core) mirror(changes []protocol.Change, revision uint64) {
+	for _, ch := range changes {
+		if ch.Delete == "" {
+			c.written(protocol.KeyValue{Key: ch.Put, Value: ch.Value, Version: revision})
+			continue
+		}
+		c.headDropped(ch.Delete, revision)
+		c.dropped(ch.Delete, revision)
+		if _, _, err := splitSite(ch.Delete); err == nil {
+			c.sites.gone[ch.Delete] = revision
+		}
+	}
+}
+
+// handOver tells the home of an accepted job's team at once.
+func (c *Core) handOver(w gateway.Write, revision uint64) {
+	d, ok := w.(gateway.Decide)
+	if !ok || !d.Taken.Accepted {
+		return
+	}
+	if j := c.jobs[d.Taken.Local]; j != nil {
+		c.announce(c.teamBy[j.Team], protocol.KeyValue{Key: activeKey(j.ID), Value: j.Head(), Version: revision})
+	}
+}
+
+// siteTxn is the transaction of a write, or not if the mirror shows that it would
+// fail.
+func (c *Core) siteTxn(w gateway.Write) (protocol.Txn, bool) {
+	switch w := w.(type) {
+	case gateway.MakeAway:
+		return c.makeAway(w)
+	case gateway.MarkTold:
+		return c.changeAway(w.Job, w.Epoch, func(a *gateway.Away) { a.Accepted = true })
+	case gateway.MarkCancel:
+		return c.changeAway(w.Job, w.Epoch, func(a *gateway.Away) { a.CancelAsked = true })
+	case gateway.TakeBack:
+		return c.takeBack(w)
+	case gateway.Finish:
+		return c.finishAway(w)
+	case gateway.Decide:
+		return c.decide(w)
+	case gateway.NoteEnd:
+		k, there := c.sites.Taken[w.Hold]
+		k.State = w.State
+		return protocol.Txn{If: c.asMirrored(takenKey(w.Hold)), Then: []protocol.Change{put(takenKey(w.Hold), k)}}, there
+	case gateway.Forget:
+		return c.forget(w)
+	case gateway.SetDrain:
+		change := protocol.Change{Delete: drainedKey(w.Site)}
+		if w.On {
+			change = put(drainedKey(w.Site), struct{}{})
+		}
+		return protocol.Txn{Then: []protocol.Change{change}}, true
+	case gateway.SetLast:
+		return protocol.Txn{If: c.asMirrored(lastKey(w.Site)), Then: []protocol.Change{put(lastKey(w.Site), w.Last)}}, true
+	}
+	panic("core: unknown write of the gateway")
+}
+
+// asMirrored is the condition that records are as the mirror has them.
+func (c *Core) asMirrored(keys ...string) []protocol.Condition {
+	var out []protocol.Condition
+	for _, k := range keys {
+		out = append(out, protocol.Condition{Key: k, Version: c.sites.versions[k]})
+	}
+	return out
+}
+
+// makeAway gives the right away. That the head is unchanged shows that nothing is
+// bound; a binding that comes later finds the record.
+func (c *Core) makeAway(w gateway.MakeAway) (protocol.Txn, bool) {
+	j := c.jobs[w.Job]
+	if j == nil || !c.untouched(j) || !c.everyNodeKnows() || w.Away.Epoch != c.sites.Last[w.Away.To]+1 {
+		return protocol.Txn{}, false
+	}
+	a := w.Away
+	a.At = c.now.Wall
+	return protocol.Txn{
+		If: append(c.asMirrored(lastKey(a.To), awayKey(j.ID)), protocol.Condition{Key: activeKey(j.ID), Version: j.Version},
+			protocol.Condition{Key: cancelKey(j.ID)}, protocol.Condition{Key: keyState + j.ID}),
+		Then: []protocol.Change{put(awayKey(j.ID), a), put(lastKey(a.To), a.Epoch)},
+	}, true
+}
+
+// changeAway changes the record of a job that is away under an epoch.
+func (c *Core) changeAway(id string, e gateway.Epoch, change func(*gateway.Away)) (protocol.Txn, bool) {
+	a, there := c.sites.Away[id]
+	change(&a)
+	return protocol.Txn{If: c.asMirrored(awayKey(id)), Then: []protocol.Change{put(awayKey(id), a)}}, there && a.Epoch == e
+}
+
+// takeBack brings the right home, or ends the job if its user wanted that.
+func (c *Core) takeBack(w gateway.TakeBack) (protocol.Txn, bool) {
+	a, there := c.sites.Away[w.Job]
+	if w.Cancelled {
+		return c.endAway(w.Job, protocol.Cancelled), there && a.Epoch == w.Epoch
+	}
+	return protocol.Txn{If: c.asMirrored(awayKey(w.Job)), Then: []protocol.Change{{Delete: awayKey(w.Job)}}}, there && a.Epoch == w.Epoch
+}
+
+func (c *Core) finishAway(w gateway.Finish) (protocol.Txn, bool) {
+	a, there := c.sites.Away[w.Job]
+	return c.endAway(w.Job, w.State), there && a.Epoch == w.Epoch && c.jobs[w.Job] != nil
+}
+
+// endAway stores the final state of a job that is away. A cancelled one's head is
+// left to its home, as any cancelled job's.
+func (c *Core) endAway(id, state string) protocol.Txn {
+	txn := protocol.Txn{If: append(c.asMirrored(awayKey(id)), protocol.Condition{Key: keyState + id})}
+	if state == protocol.Cancelled {
+		txn.Then = []protocol.Change{put(keyState+id, stateKey{State: state}), put(cancelKey(id), struct{}{})}
+	} else {
+		txn.Then = []protocol.Change{put(keyState+id, stateKey{State: state, Tasks: c.jobs[id].Tasks}), {Delete: activeKey(id)}}
+	}
+	txn.Then = append(txn.Then, protocol.Change{Delete: awayKey(id)})
+	return txn
+}
+
+// decide stores a decision for good, with the job if it is accepted.
+func (c *Core) decide(w gateway.Decide) (protocol.Txn, bool) {
+	k := w.Taken
+	k.At = c.now.Wall
+	txn := protocol.Txn{If: c.asMirrored(floorKey(w.Hold.Origin), takenKey(w.Hold)), Then: []protocol.Change{put(takenKey(w.Hold), k)}}
+	_, decided := c.sites.Taken[w.Hold]
+	if !k.Accepted {
+		return txn, !decided
+	}
+	s, err := job.Parse(w.Ticket.Body, c.specBytes())
+	if err != nil || decided {
+		return txn, false
+	}
+	s.ID, s.Accepted = k.Local, c.now.Wall
+	txn.If = append(txn.If, protocol.Condition{Key: activeKey(s.ID)}, protocol.Condition{Key: keyState + s.ID})
+	txn.Then = append(txn.Then, protocol.Change{Put: activeKey(s.ID), Value: json.RawMessage(job.New(*s, c.chunkSize(), c.now.Steady).Head())})
+	return txn, true
+}
+
+// forget drops decisions. The final states of the jobs stay, as any job's: workers
+// that come back late are told by them what to stop.
+func (c *Core) forget(w gateway.Forget) (protocol.Txn, bool) {
+	txn := protocol.Txn{If: c.asMirrored(floorKey(w.Origin)), Then: []protocol.Change{put(floorKey(w.Origin), w.Floor)}}
+	for _, h := range w.Drop {
+		txn.Then = append(txn.Then, protocol.Change{Delete: takenKey(h)})
+	}
+	return txn, true
+}
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -29,7 +29,7 @@
 	}
 	c.enrolled = true
 	lease := c.lease
-	own := protocol.Change{Put: keyNode + c.cfg.Node, Value: raw(nodeKey{Inc: c.inc, Lease: lease}), Lease: lease}
+	own := protocol.Change{Put: keyNode + c.cfg.Node, Value: raw(nodeKey{Inc: c.inc, Lease: lease, Gate: c.gate != nil}), Lease: lease}
 	c.txn(protocol.Txn{Then: []protocol.Change{own}}, true, func(r StoreReply) {
 		if r.Outcome != Applied && c.lease == lease {
 			c.enrolled = false // tendHomes tries again
@@ -43,7 +43,7 @@
 func (c *Core) tendHomes() {
 	c.enroll()
 	me, enrolled := c.nodes[c.cfg.Node]
-	if c.lease == 0 || !enrolled || me.Inc != c.inc {
+	if c.lease == 0 || !enrolled || me.Inc != c.inc || c.blind() {
 		return
 	}
 	for i, t := range c.allTeams() {
@@ -129,6 +129,9 @@
 	if t == c.fleet {
 		c.rental.reset(c.now.Steady)
 	}
+	if c.gate != nil && t == c.gate.team {
+		c.gate.open(c)
+	}
 	c.sched.dirty = true
 }
 
@@ -137,6 +140,9 @@
 func (c *Core) homeLost(t *team) {
 	was := t.acting
 	t.acting, t.home, t.homeInc, t.version = false, "", "", 0
+	if c.gate != nil && t == c.gate.team {
+		c.gate.machine = nil
+	}
 	if !was {
 		return
 	}
--- a/internal/core/job/spec.go
+++ b/internal/core/job/spec.go
@@ -217,3 +217,23 @@
 	}
 	return true
 }
+
+// Submission is the description as a user would give it; Parse gives it back.
+func (s *Spec) Submission() protocol.Submission {
+	kind := []string{protocol.KindArray, protocol.KindGang, protocol.KindService}[s.Kind]
+	tasks := int64(s.Tasks)
+	out := protocol.Submission{ID: &s.ID, Class: &s.Class, Team: &s.Team, Kind: &kind, Priority: &protocol.Priorities[s.Priority],
+		Tasks: &tasks, CPUs: &s.Need.CPUs, GPUs: &s.Need.GPUs, MemoryGB: &s.Need.MemoryGB, Image: &s.Image, ImageGB: &s.ImageGB,
+		OneZone: &s.OneZone, Spread: &s.Spread, Spot: &s.Spot,
+		EstimateS: &s.EstimateS, CheckpointS: &s.CheckpointS, SaveS: &s.SaveS}
+	if s.Types != nil {
+		out.Types = &s.Types
+	}
+	if s.Zone != "" {
+		out.Zone = &s.Zone
+	}
+	if s.DeadlineS > 0 {
+		out.DeadlineS = &s.DeadlineS
+	}
+	return out
+}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -101,6 +101,7 @@
 	}
 	if len(out) > 0 {
 		u.txn.If = append(u.txn.If, protocol.Condition{Key: cancelKey(j.ID)})
+		u.txn.If = append(u.txn.If, c.atHome(j.ID)...)
 	}
 	return out
 }
@@ -174,6 +175,9 @@
 	if slices.Contains(failed, cancelKey(j.ID)) {
 		c.markCancelled(j)
 	}
+	if slices.Contains(failed, awayKey(j.ID)) {
+		c.handedOff(j)
+	}
 	for i, b := range j.Bound {
 		if !b.Stored && slices.Contains(failed, keyMark+b.Machine) {
 			c.rental.closing[b.Machine] = c.now.Steady
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -24,6 +24,7 @@
 	keyMark    = Root + "x/" // j/x/<machine>: closing or gone
 	keyIntent  = Root + "v/" // j/v/<request>: a rental
 	keyRecord  = Root + "r/" // j/r/<team>: remembered use
+	keyGate    = Root + "g"  // the home of the gateway to other sites; its records begin alike, see sites.go
 	keyState   = "u/"        // u/<job>: the final state of a job, for good
 	keyFleet   = Root + "f"  // the home of the renting of machines
 	fleetName  = "fleet"
@@ -34,6 +35,8 @@
 type nodeKey struct {
 	Inc   string `json:"i"`
 	Lease uint64 `json:"l"`
+	// Gate tells that it knows of jobs that are away.
+	Gate bool `json:"g,omitempty"`
 }
 
 // homeKey is the value of a team's home.
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -5,6 +5,7 @@
 
 	"pepperlever/internal/core/fairness"
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/gateway"
 	"pepperlever/internal/protocol"
 )
 
@@ -131,8 +132,18 @@
 	}
 )
 
+// Commands from other sites and the operator's gateway file.
+type (
+	// SiteIn is a message of another site, whose sender has been verified.
+	SiteIn struct{ Message gateway.Message }
+	// SiteConfig is the gateway file, read again after a change.
+	SiteConfig struct{ Config *gateway.Config }
+)
+
 // Effects.
 type (
+	// SendSite sends a message to another site.
+	SendSite struct{ Message gateway.Message }
 	// Answer ends a request of a user or worker.
 	Answer struct {
 		Req        uint64
@@ -206,6 +217,61 @@
 	Fence        *Fence             `json:"f,omitempty"`
 	Condemn      *Condemn           `json:"x,omitempty"`
 	Beat         *NodeBeat          `json:"b,omitempty"`
+	Site         *SiteNote          `json:"g,omitempty"`
+}
+
+// SiteNote is what controllers say to one another about the gateway. One of its
+// parts is set: a message of another site, a job to be cancelled, a job's progress,
+// an operator's question, or its answer.
+type SiteNote struct {
+	Message *gateway.Message `json:"m,omitempty"`
+	Cancel  string           `json:"c,omitempty"`
+	Job     string           `json:"j,omitempty"`
+	Done    int              `json:"d,omitempty"`
+	Running int              `json:"r,omitempty"`
+	Ask     *SiteAsk         `json:"a,omitempty"`
+	Told    *SiteTold        `json:"t,omitempty"`
+}
+
+// SiteAsk is an operator's question, or word, to the gateway.
+type SiteAsk struct {
+	Req uint64 `json:"q"`
+	Op  AskOp  `json:"o"`
+	// Name is a job or a site.
+	Name     string `json:"name"`
+	On       bool   `json:"on"`
+	Operator string `json:"operator"`
+	Why      string `json:"why"`
+}
+
+// AskOp is what an operator wants.
+type AskOp string
+
+// What operators may want.
+const (
+	AskStatus   AskOp = "status"
+	AskHandOffs AskOp = "handoffs"
+	AskGiveUp   AskOp = "give-up"
+	AskDrain    AskOp = "drain"
+	AskRenew    AskOp = "renew"
+)
+
+// SiteTold answers SiteAsk to the node that it came from.
+type SiteTold struct {
+	Req    uint64 `json:"q"`
+	Status int    `json:"s"`
+	Body   []byte `json:"b"`
+}
+
+// SiteStatus is the gateway's state, and which controller is its home.
+type SiteStatus struct {
+	Node string `json:"node"`
+	gateway.Status
+}
+
+// SiteWord is what was done on an operator's word.
+type SiteWord struct {
+	Said string `json:"said"`
 }
 
 // Observation passes a worker's report on, with the term it was answered under.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -153,6 +153,8 @@
 		c.condemned(*m.Condemn)
 	case m.Beat != nil:
 		c.nodeBeatIn(from, *m.Beat)
+	case m.Site != nil:
+		c.siteNote(from, *m.Site)
 	}
 }
 
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -52,11 +52,18 @@
 	for name := range c.intents {
 		out[keyIntent+name] = true
 	}
+	for key := range c.sites.versions {
+		out[key] = true
+	}
 	return out
 }
 
 func (c *Core) allTeams() []*team {
-	return append(c.teams[:len(c.teams):len(c.teams)], c.fleet)
+	all := append(c.teams[:len(c.teams):len(c.teams)], c.fleet)
+	if c.gate != nil {
+		all = append(all, c.gate.team)
+	}
+	return all
 }
 
 func (c *Core) watched(m Watched) {
@@ -81,8 +88,10 @@
 		id := strings.TrimPrefix(key, keyCancel)
 		c.remember(id, protocol.JobState{ID: id, State: protocol.Cancelled})
 		c.markCancelled(c.jobs[id])
-	case key == keyFleet, strings.HasPrefix(key, keyHome):
+	case key == keyFleet, key == keyGate, strings.HasPrefix(key, keyHome):
 		err = c.homeWritten(item)
+	case strings.HasPrefix(key, keyGate):
+		err = c.siteWritten(item)
 	case strings.HasPrefix(key, keyNode):
 		var n nodeKey
 		if err = json.Unmarshal(item.Value, &n); err == nil {
@@ -119,10 +128,12 @@
 	switch {
 	case strings.HasPrefix(key, keyActive):
 		id, chunk, ok := splitActive(key)
-		if j := c.jobs[id]; ok && chunk == 0 && j != nil && j.Version < revision && !c.mine(j) {
+		if j := c.jobs[id]; ok && chunk == 0 && j != nil && j.Version < revision && (!c.mine(j) || c.away(id)) {
 			c.forgetJob(j)
 		}
-	case key == keyFleet, strings.HasPrefix(key, keyHome):
+	case strings.HasPrefix(key, keyGate) && key != keyGate:
+		c.siteDropped(key, revision)
+	case key == keyFleet, key == keyGate, strings.HasPrefix(key, keyHome):
 		for _, t := range c.allTeams() {
 			if t.key == key && t.version < revision {
 				c.homeLost(t)
--- /dev/null
+++ b/internal/core/sites.go
@@ -0,0 +1,181 @@
+package core
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/gateway"
+	"pepperlever/internal/protocol"
+)
+
+// Keys of the hand-offs between sites. Only the gateway's home writes them.
+const (
+	keyAway    = keyGate + "a/" // j/ga/<job>: another site has the right to it
+	keyTaken   = keyGate + "t/" // j/gt/<origin>/<epoch>: what was decided here
+	keyFloor   = keyGate + "f/" // j/gf/<origin>: the epoch up to which all is closed
+	keyLast    = keyGate + "e/" // j/ge/<site>: the highest epoch given to it
+	keyDrained = keyGate + "d/" // j/gd/<site>: no new hand-offs with it
+)
+
+func awayKey(id string) string          { return keyAway + id }
+func takenKey(h gateway.Hold) string    { return keyTaken + string(h.Origin) + "/" + epochText(h.Epoch) }
+func floorKey(s gateway.Site) string    { return keyFloor + string(s) }
+func lastKey(s gateway.Site) string     { return keyLast + string(s) }
+func drainedKey(s gateway.Site) string  { return keyDrained + string(s) }
+func epochText(e gateway.Epoch) string  { return strconv.FormatUint(uint64(e), 10) }
+func epochValue(e gateway.Epoch) []byte { return raw(e) }
+
+// siteRecords mirror the hand-offs on every controller, with a gateway or without:
+// what is away is bound nowhere here.
+type siteRecords struct {
+	gateway.Records
+	// versions are the keys' versions, gone the revisions of deletions that the
+	// watch has not told yet.
+	versions map[string]uint64
+	gone     map[string]uint64
+	// doubted holds jobs that were found to be away before their records came.
+	doubted map[string]time.Duration
+	// progress is what the far sites have told of jobs that are away, for display.
+	progress map[string]progress
+}
+
+type progress struct{ Done, Running int }
+
+func newSiteRecords() siteRecords {
+	return siteRecords{Records: gateway.Records{Last: map[gateway.Site]gateway.Epoch{}, Away: map[string]gateway.Away{},
+		Taken: map[gateway.Hold]gateway.Taken{}, Floors: map[gateway.Site]gateway.Epoch{}, Drained: map[gateway.Site]bool{}},
+		versions: map[string]uint64{}, gone: map[string]uint64{}, doubted: map[string]time.Duration{}, progress: map[string]progress{}}
+}
+
+// away tells whether another site has the right to a job.
+func (c *Core) away(id string) bool {
+	if _, away := c.sites.Away[id]; away {
+		return true
+	}
+	at, doubted := c.sites.doubted[id]
+	return doubted && c.now.Steady-at < c.reportInterval()
+}
+
+// atHome is the condition that a job has not been handed off. Without a gateway
+// none is; that all controllers of a site have one before anything is handed off is
+// seen to by their own keys.
+func (c *Core) atHome(id string) []protocol.Condition {
+	if c.gate == nil {
+		return nil
+	}
+	return []protocol.Condition{{Key: awayKey(id)}}
+}
+
+// blind tells whether this node must be no home: hand-offs are stored, and it does
+// not know how to keep away from them.
+func (c *Core) blind() bool { return c.gate == nil && len(c.sites.versions) > 0 }
+
+// handedOff ends the bindings that could not be stored since the job is away. Its
+// record is on its way.
+func (c *Core) handedOff(j *job.Job) {
+	c.sites.doubted[j.ID] = c.now.Steady
+	for i, b := range j.Bound {
+		if !b.Stored {
+			c.unbind(j, i)
+		}
+	}
+}
+
+// siteWritten takes over a stored record.
+func (c *Core) siteWritten(item protocol.KeyValue) error {
+	if c.sites.versions[item.Key] >= item.Version || c.sites.gone[item.Key] > item.Version {
+		return nil
+	}
+	if c.gate == nil && len(c.sites.versions) == 0 {
+		c.log(Error, "jobs of this site are handed off: give this controller its gateway file; it takes no teams without")
+	}
+	if err := c.sites.put(item); err != nil {
+		return err
+	}
+	c.sites.versions[item.Key] = item.Version
+	c.siteChanged(item.Version)
+	return nil
+}
+
+// put reads a record into the mirror.
+func (s *siteRecords) put(item protocol.KeyValue) error {
+	kind, name, err := splitSite(item.Key)
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case keyAway:
+		var a gateway.Away
+		err = json.Unmarshal(item.Value, &a)
+		s.Away[name] = a
+		delete(s.doubted, name)
+	case keyTaken:
+		var k gateway.Taken
+		var h gateway.Hold
+		if h, err = holdOf(name); err == nil {
+			err = json.Unmarshal(item.Value, &k)
+			s.Taken[h] = k
+		}
+	case keyFloor, keyLast:
+		var e gateway.Epoch
+		err = json.Unmarshal(item.Value, &e)
+		of := map[string]map[gateway.Site]gateway.Epoch{keyFloor: s.Floors, keyLast: s.Last}[kind]
+		of[gateway.Site(name)] = max(of[gateway.Site(name)], e)
+	case keyDrained:
+		s.Drained[gateway.Site(name)] = true
+	}
+	return err
+}
+
+// splitSite takes the key of a record apart.
+func splitSite(key string) (kind, name string, err error) {
+	for _, kind := range []string{keyAway, keyTaken, keyFloor, keyLast, keyDrained} {
+		if name, ok := strings.CutPrefix(key, kind); ok {
+			return kind, name, nil
+		}
+	}
+	return "", "", strconv.ErrSyntax
+}
+
+func holdOf(name string) (gateway.Hold, error) {
+	origin, epoch, _ := strings.Cut(name, "/")
+	e, err := strconv.ParseUint(epoch, 10, 64)
+	return gateway.Hold{Origin: gateway.Site(origin), Epoch: gateway.Epoch(e)}, err
+}
+
+// siteDropped applies the deletion of a record.
+func (c *Core) siteDropped(key string, revision uint64) {
+	s := &c.sites
+	if s.gone[key] == revision {
+		delete(s.gone, key) // told already
+		return
+	}
+	if v, there := s.versions[key]; !there || v > revision {
+		return
+	}
+	delete(s.versions, key)
+	kind, name, err := splitSite(key)
+	if err != nil {
+		return
+	}
+	switch kind {
+	case keyAway:
+		delete(s.Away, name)
+		delete(s.progress, name)
+		c.sched.dirty = true
+		if j := c.jobs[name]; j != nil {
+			j.WaitingSince = c.now.Steady
+		}
+	case keyTaken:
+		if h, err := holdOf(name); err == nil {
+			delete(s.Taken, h)
+		}
+	case keyDrained:
+		delete(s.Drained, gateway.Site(name))
+	}
+	c.siteChanged(revision)
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -4,8 +4,10 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/gateway"
 	"pepperlever/internal/protocol"
 )
 
@@ -37,7 +39,7 @@
 
 // submit accepts a job by one conditional write; only then is it accepted.
 func (c *Core) submit(m Submit) {
-	s, err := job.Parse(m.Body, int(c.cfg.Params.State.ValueKB*1024)/4)
+	s, err := job.Parse(m.Body, c.specBytes())
 	if err != nil {
 		c.answer(m.Req, http.StatusBadRequest, protocol.Problem{Error: err.Error()})
 		return
@@ -51,7 +53,11 @@
 		c.unavailable(m.Req)
 		return
 	}
-	if why := c.neverRuns(t, s); why != "" {
+	if c.gate != nil && strings.HasPrefix(s.ID, gateway.LocalPrefix) {
+		c.answer(m.Req, http.StatusBadRequest, protocol.Problem{Error: "job id is kept for jobs of other sites"})
+		return
+	}
+	if why := c.neverRuns(t, s); why != "" && !(t != nil && c.elsewhere(s)) {
 		c.refuse(m.Req, s.ID, why)
 		return
 	}
@@ -193,7 +199,9 @@
 // display is what the user of a job that is not final is told of its progress.
 func (c *Core) display(id string) protocol.JobState {
 	s := protocol.JobState{ID: id, State: protocol.Queued}
-	if j := c.jobs[id]; j != nil {
+	if c.away(id) {
+		s.Done, s.Running = c.sites.progress[id].Done, c.sites.progress[id].Running
+	} else if j := c.jobs[id]; j != nil {
 		s.Done, s.Running = min(j.Done.Len(), j.Tasks-1), c.running(j)
 	}
 	if s.Running > 0 {
@@ -227,6 +235,10 @@
 		c.unknown(m.Req)
 		return
 	}
+	if c.gate != nil && m.Req != 0 && strings.HasPrefix(m.ID, gateway.LocalPrefix) {
+		c.answer(m.Req, http.StatusUnprocessableEntity, protocol.Problem{Error: "job is of another site: cancel it there"})
+		return
+	}
 	if c.jobs[m.ID] != nil && c.storeOK {
 		c.storeCancel(m)
 		return
@@ -243,9 +255,13 @@
 // storeCancel cancels a job that was accepted: it stays so until it has a final
 // state, so that it has none is all that the write depends on.
 func (c *Core) storeCancel(m Cancel) {
+	if c.away(m.ID) {
+		c.cancelAway(m)
+		return
+	}
 	state := keyState + m.ID
 	c.userTxn(protocol.Txn{
-		If:   []protocol.Condition{{Key: state}},
+		If:   append([]protocol.Condition{{Key: state}}, c.atHome(m.ID)...),
 		Then: []protocol.Change{put(state, stateKey{State: protocol.Cancelled}), put(cancelKey(m.ID), struct{}{})},
 	}, func(r StoreReply) {
 		switch r.Outcome {
@@ -256,6 +272,10 @@
 			c.markCancelled(c.jobs[m.ID])
 			c.answer(m.Req, http.StatusOK, s)
 		case Conflict:
+			if slices.Contains(r.Failed, awayKey(m.ID)) {
+				c.cancelAway(m)
+				return
+			}
 			c.inquire(m.ID, func(f finding, s protocol.JobState) {
 				if f == active {
 					f = untold // the repeated request tells
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"pepperlever/internal/core"
 	"pepperlever/internal/peer"
 	"pepperlever/internal/settings"
+	"pepperlever/internal/sitelink"
 	"pepperlever/internal/store"
 )
 
@@ -41,10 +42,13 @@
 	cloud *cloud.Cloud
 	agent *agent.Agent
 	peers *peer.Peers
+	// sites are the streams to other sites, nil without a gateway.
+	sites *sitelink.Links
 }
 
-// Run serves until ctx ends.
-func Run(ctx context.Context, cfg *settings.Settings, policy settings.Policy) error {
+// Run serves until ctx ends. gatewayFile switches the gateway to other sites on; it
+// is empty without one.
+func Run(ctx context.Context, cfg *settings.Settings, policy settings.Policy, gatewayFile string) error {
 	limitMemory(cfg)
 	d := &Daemon{queue: make(chan core.Command, queueLength), start: time.Now()}
 	d.tick = time.Duration(cfg.Params.Workers.ReportS * float64(time.Second) / 30)
@@ -55,6 +59,15 @@
 	d.cloud = cloud.New(cfg, emit)
 	d.agent = agent.New(cfg, emit)
 	d.peers = peer.New(cfg, emit)
+	if gatewayFile != "" {
+		links, gate, err := sitelink.New(gatewayFile, emit)
+		if err != nil {
+			return err
+		}
+		d.sites = links
+		d.core.Join(gate)
+		d.api.WithGateway(links.Refused.Load)
+	}
 
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.loop(ctx) })
@@ -62,6 +75,9 @@
 	g.Go(func() error { return d.store.Run(ctx) })
 	g.Go(func() error { return d.cloud.Run(ctx) })
 	g.Go(func() error { return d.peers.Run(ctx) })
+	if d.sites != nil {
+		g.Go(func() error { return d.sites.Run(ctx) })
+	}
 	return g.Wait()
 }
 
@@ -119,6 +135,8 @@
 		d.store.Reload()
 	case core.SendPeer:
 		d.peers.Send(e)
+	case core.SendSite:
+		d.sites.Send(e.Message)
 	case core.Deliver:
 		d.agent.Deliver(e)
 	case core.FetchCatalog:
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"time"
 
 	"pepperlever/internal/strict"
 )
@@ -118,6 +119,22 @@
 // siteName is what a site may be called: its name becomes part of keys and ids.
 var siteName = regexp.MustCompile(`^[A-Za-z0-9-]{1,32}$`)
 
+// Elsewhere tells whether a job of a class that asks for a zone or types which this
+// site has not may go to a site that has them.
+func (c *Config) Elsewhere(class, zone string, types []string) bool {
+	return slices.ContainsFunc(c.class(class).To, func(s Site) bool {
+		p, _ := c.peer(s)
+		return zone != "" && slices.Contains(p.Zones, zone) ||
+			slices.ContainsFunc(types, func(t string) bool { return slices.Contains(p.Types, t) })
+	})
+}
+
+// Goes tells whether jobs of a class may go anywhere once they have waited.
+func (c *Config) Goes(class string, waited time.Duration) bool {
+	k := c.class(class)
+	return len(k.To) > 0 && waited >= seconds(k.AfterS)
+}
+
 // peer finds a peer by its name.
 func (c *Config) peer(s Site) (Peer, bool) {
 	i := slices.IndexFunc(c.Peers, func(p Peer) bool { return p.Site == s })
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -4,7 +4,10 @@
 // docs/gateway.md has the design and what must hold.
 package gateway
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Site names a site.
 type Site string
@@ -23,7 +26,10 @@
 	// Path holds the sites that the job came through, the origin first.
 	Path []Site `json:"path"`
 	// Body is the job's description as its user gave it.
-	Body []byte `json:"body"`
+	Body json.RawMessage `json:"body"`
+	// Key names the key of MAC, which signs all the rest.
+	Key string `json:"key,omitempty"`
+	MAC []byte `json:"mac,omitempty"`
 }
 
 // Kind tells what a message says.
@@ -142,6 +148,8 @@
 	// Local is the job's id here, State its final state once it has ended.
 	Local string `json:"l,omitempty"`
 	State string `json:"s,omitempty"`
+	// Path holds the sites that an accepted job came through.
+	Path []Site `json:"p,omitempty"`
 	// At is the time of day of the decision in milliseconds, for display.
 	At int64 `json:"at,omitempty"`
 }
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -177,3 +177,12 @@
 	}
 	return "open"
 }
+
+// Job is the job that is away at a site under an epoch.
+func (m *Machine) Job(at Site, e Epoch) (string, bool) {
+	if !m.loaded {
+		return "", false
+	}
+	job, _, ok := m.held(e, at)
+	return job, ok
+}
--- a/internal/gateway/receiver.go
+++ b/internal/gateway/receiver.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
 
 // offered decides on an offer, once and for good.
 func (m *Machine) offered(in Received) {
@@ -16,7 +20,7 @@
 	case t == nil || t.Epoch != msg.Epoch || t.To != m.cfg.Site || len(t.Path) == 0 || t.Path[len(t.Path)-1] != msg.From:
 		return
 	}
-	k := Taken{Accepted: true, Local: localID(h)}
+	k := Taken{Accepted: true, Local: localID(h), Path: t.Path}
 	if why := m.refuses(*t, in.Unfit); why != "" {
 		k = Taken{Reason: why}
 	}
@@ -32,6 +36,17 @@
 // comes again under another one is another job.
 func localID(h Hold) string { return fmt.Sprintf("%s%s-%d", LocalPrefix, h.Origin, h.Epoch) }
 
+// ParseLocal tells which epoch an id here stands for.
+func ParseLocal(id string) (Hold, bool) {
+	rest, ours := strings.CutPrefix(id, LocalPrefix)
+	cut := strings.LastIndexByte(rest, '-')
+	if !ours || cut < 0 {
+		return Hold{}, false
+	}
+	e, err := strconv.ParseUint(rest[cut+1:], 10, 64)
+	return Hold{Site(rest[:cut]), Epoch(e)}, err == nil
+}
+
 // known tells whether an epoch is decided or closed.
 func (m *Machine) known(h Hold) bool {
 	_, decided := m.records.Taken[h]
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"slices"
 	"time"
 )
@@ -18,7 +19,7 @@
 	Elsewhere bool
 	// Path holds the sites that it came through, if it was handed to this one.
 	Path []Site
-	Body []byte
+	Body json.RawMessage
 }
 
 // peerState is what is known of another site.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -104,7 +104,7 @@
 
 // HandOffs lists all that is open: what is away by job, then what was taken.
 func HandOffs(r *Records) []HandOff {
-	var out []HandOff
+	out := []HandOff{}
 	for _, job := range slices.Sorted(maps.Keys(r.Away)) {
 		a := r.Away[job]
 		out = append(out, HandOff{job, a.Ticket.Class, a.To, a.Epoch, a.Stage(), a.At})
--- a/internal/lab/advance.go
+++ b/internal/lab/advance.go
@@ -72,6 +72,7 @@
 	m.changed = true
 	t.stop = nil
 	if ok {
+		f.completed++
 		f.exit(t, protocol.WhyDone)
 	} else {
 		f.exit(t, protocol.WhyError)
--- a/internal/lab/controller.go
+++ b/internal/lab/controller.go
@@ -18,7 +18,12 @@
 // controller is one controller of the site.
 type controller struct {
 	node, zone, listen, peer, file string
-	healthy                        atomic.Bool
+	// gateway is the file that joins it to other sites, and gate where it takes
+	// their streams; both are empty without.
+	gateway, gate string
+	healthy       atomic.Bool
+	// kill ends the running process.
+	kill atomic.Pointer[context.CancelFunc]
 }
 
 // place picks the controllers' addresses and writes their settings files.
@@ -79,11 +84,27 @@
 	return out
 }
 
+// Launch starts a controller with its settings and, if not empty, its gateway's
+// file, and returns when it has ended.
+type Launch func(ctx context.Context, settings, gateway string) error
+
+// Kill ends a controller at once; it is started again.
+func (s *Site) Kill(node string) {
+	for _, c := range s.controllers {
+		if kill := c.kill.Load(); c.node == node && kill != nil {
+			(*kill)()
+		}
+	}
+}
+
 // keep starts a controller again whenever it ends.
-func (s *Site) keep(ctx context.Context, c *controller, launch func(ctx context.Context, node, settings string) error) error {
+func (s *Site) keep(ctx context.Context, c *controller, launch Launch) error {
 	defer os.Remove(c.file)
 	for ctx.Err() == nil {
-		err := launch(ctx, c.node, c.file)
+		run, kill := context.WithCancel(ctx)
+		c.kill.Store(&kill)
+		err := launch(run, c.file, c.gateway)
+		kill()
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -20,6 +20,10 @@
 	saved   map[string]float64
 	results map[string]bool
 	runner  Runner
+	// lookup finds the description of a job that no user has handed in here.
+	lookup func(id string) *protocol.Submission
+	// completed counts the runs that came to their end.
+	completed int
 }
 
 // Runner runs a task as a real program. It is told when the task has to end, and
@@ -68,7 +72,7 @@
 
 // Upload notes the description of a job, which workers fetch when they start it.
 func (f *Fleet) Upload(s *protocol.Submission) {
-	if s.ID != nil && f.jobs[*s.ID] == nil {
+	if s != nil && s.ID != nil && f.jobs[*s.ID] == nil {
 		f.jobs[*s.ID] = s
 	}
 }
@@ -176,6 +180,9 @@
 // start takes a task on, or notes why not.
 func (f *Fleet) start(now time.Duration, m *machine, c protocol.Command) {
 	id, index, _ := strings.Cut(c.Task, "/")
+	if f.jobs[id] == nil && f.lookup != nil {
+		f.Upload(f.lookup(id))
+	}
 	j := f.jobs[id]
 	t := &task{TaskReport: protocol.TaskReport{Task: c.Task, Attempt: c.Attempt, State: pulling}, job: j, at: now}
 	m.tasks = append(m.tasks, t)
--- a/internal/lab/kv.go
+++ b/internal/lab/kv.go
@@ -25,6 +25,8 @@
 	floor  uint64
 	leases map[uint64]*lease
 	lastID uint64
+	// made counts changes.
+	made int
 	// touched names the keys that have changed since they were last saved.
 	touched map[string]bool
 }
@@ -105,6 +107,7 @@
 		s.items[ch.Put] = protocol.KeyValue{Key: ch.Put, Value: ch.Value, Version: s.revision, Lease: ch.Lease}
 		e.Put, e.Value = ch.Put, ch.Value
 	}
+	s.made++
 	s.touched[e.Put+e.Delete] = true
 	if s.events = append(s.events, e); len(s.events) > 2*eventsKept {
 		old := s.events[:len(s.events)-eventsKept]
--- /dev/null
+++ b/internal/lab/measure.go
@@ -0,0 +1,151 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+
+	"pepperlever/client"
+)
+
+// Measure prints how long jobs take that go to the other site and that stay, how
+// many go over a second, what that costs the state services, and how long results
+// take once a cut link is back.
+func (p *Pair) Measure(ctx context.Context, out io.Writer) error {
+	c, err := client.New(p.Sites[0].Front())
+	if err != nil {
+		return err
+	}
+	if err := p.handsOff(ctx, c); err != nil {
+		return err
+	}
+	for _, class := range []string{"stays", Goes} {
+		if err := p.latency(ctx, out, c, class, 60); err != nil {
+			return err
+		}
+	}
+	for _, n := range []int{10, 100, 1000} {
+		if err := p.recovery(ctx, out, c, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// latency runs n jobs one after the other.
+func (p *Pair) latency(ctx context.Context, out io.Writer, c *client.Client, class string, n int) error {
+	h := hdrhistogram.New(1, 60_000, 3) // milliseconds
+	before := p.changes()
+	for range n {
+		start := time.Now()
+		id, err := p.submit(ctx, c, class)
+		if err != nil {
+			return err
+		}
+		if err := p.await(ctx, c, id); err != nil {
+			return err
+		}
+		if err := h.RecordValue(time.Since(start).Milliseconds()); err != nil {
+			return err
+		}
+	}
+	after := p.changes()
+	fmt.Fprintf(out, "class %-6s %d jobs one by one: p50 %d ms, p99 %d ms; changes of the state a job: %.1f at %s, %.1f at %s\n", class, n,
+		h.ValueAtQuantile(50), h.ValueAtQuantile(99),
+		float64(after[0]-before[0])/float64(n), pairNames[0], float64(after[1]-before[1])/float64(n), pairNames[1])
+	return nil
+}
+
+// recovery has n jobs away behind a cut link that end there, and tells how long the
+// last result takes once the link is back.
+func (p *Pair) recovery(ctx context.Context, out io.Writer, c *client.Client, n int) error {
+	start := time.Now()
+	ids, err := p.submitAll(ctx, c, n)
+	if err != nil {
+		return err
+	}
+	if err := p.until(ctx, func() bool { return p.Sites[0].State.count("j/ga/") >= n || time.Since(start) > caseTime }); err != nil {
+		return err
+	}
+	away := p.Sites[0].State.count("j/ga/")
+	fmt.Fprintf(out, "%5d jobs handed in at once: %d away after %.1f s\n", n, away, time.Since(start).Seconds())
+	for _, l := range p.Links {
+		l.Set(Hang)
+	}
+	sleep(ctx, 10*time.Second)
+	for _, l := range p.Links {
+		l.Set(Pass)
+	}
+	back := time.Now()
+	for _, id := range ids {
+		if err := p.await(ctx, c, id); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "%5d in flight behind a link cut for 10 s: last result %.1f s after its return\n", away, time.Since(back).Seconds())
+	return nil
+}
+
+func (p *Pair) submit(ctx context.Context, c *client.Client, class string) (string, error) {
+	j := client.Job{Team: p.Sites[0].cfg.Teams[0].Name, Class: class, EstimateS: 0.01, CPUs: 0.1, MemoryGB: 0.1}
+	if err := j.Fill(); err != nil {
+		return "", err
+	}
+	_, err := c.Submit(ctx, j)
+	return j.ID, err
+}
+
+func (p *Pair) submitAll(ctx context.Context, c *client.Client, n int) ([]string, error) {
+	var mu sync.Mutex
+	var ids []string
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(32)
+	for range n {
+		g.Go(func() error {
+			id, err := p.submit(ctx, c, Goes)
+			mu.Lock()
+			defer mu.Unlock()
+			ids = append(ids, id)
+			return err
+		})
+	}
+	return ids, g.Wait()
+}
+
+// await asks for a job's end often: the figure is to be the site's, not the asker's.
+func (p *Pair) await(ctx context.Context, c *client.Client, id string) error {
+	var err error
+	waited := p.until(ctx, func() bool {
+		var s client.State
+		s, err = c.Status(ctx, id)
+		return err != nil || s.Final()
+	})
+	if waited != nil {
+		return waited
+	}
+	return err
+}
+
+// until looks every so often whether something holds.
+func (p *Pair) until(ctx context.Context, holds func() bool) error {
+	for !holds() {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		sleep(ctx, tick)
+	}
+	return nil
+}
+
+// changes are how many changes each state service has made.
+func (p *Pair) changes() (out [2]int) {
+	for i, s := range p.Sites {
+		out[i] = s.State.made()
+	}
+	return out
+}
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -69,11 +69,12 @@
 // Front is the users' address.
 func (s *Site) Front() string { return s.front.Addr().String() }
 
-// Run serves until ctx ends or a part of the site fails. launch starts the
-// controller with the settings file, and returns when it has ended.
-func (s *Site) Run(ctx context.Context, launch func(ctx context.Context, node, settings string) error) error {
-	if err := s.place(); err != nil {
-		return err
+// Run serves until ctx ends or a part of the site fails.
+func (s *Site) Run(ctx context.Context, launch Launch) error {
+	if s.controllers == nil {
+		if err := s.place(); err != nil {
+			return err
+		}
 	}
 	s.group, ctx = errgroup.WithContext(ctx)
 	s.group.Go(func() error { return s.State.Run(ctx, s.stateLn) })
@@ -95,6 +96,13 @@
 	return err
 }
 
+// Completed is how many tasks have run to their end here.
+func (s *Site) Completed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.completed
+}
+
 func (s *Site) now() time.Duration { return time.Since(s.start) }
 
 // advance lets the time pass, and starts and ends the workers of machines that
--- a/internal/lab/state.go
+++ b/internal/lab/state.go
@@ -71,6 +71,25 @@
 	s.down = down
 }
 
+// count is how many keys begin with prefix, made how many changes were made.
+func (s *State) count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for key := range s.kv.items {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) made() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kv.made
+}
+
 func (s *State) now() time.Duration { return time.Since(s.start) }
 
 // Run answers on ln until ctx ends.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,11 +4,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -20,6 +18,7 @@
 
 	"pepperlever/internal/core"
 	"pepperlever/internal/settings"
+	"pepperlever/internal/stream"
 )
 
 const (
@@ -40,16 +39,14 @@
 
 type link struct {
 	node, address string
-	queue         chan []byte
-	overflow      chan struct{}
+	out           *stream.Out
 }
 
 // New makes Peers that pass messages to emit.
 func New(cfg *settings.Settings, emit func(core.Command)) *Peers {
 	p := &Peers{cfg: cfg, emit: emit, links: map[string]*link{}}
 	for _, o := range cfg.Peers {
-		p.links[o.Node] = &link{node: o.Node, address: o.Address,
-			queue: make(chan []byte, queueLength), overflow: make(chan struct{}, 1)}
+		p.links[o.Node] = &link{node: o.Node, address: o.Address, out: stream.NewOut(queueLength)}
 	}
 	return p
 }
@@ -63,18 +60,7 @@
 	line = append(line, '\n')
 	for _, node := range m.Nodes {
 		if l := p.links[node]; l != nil {
-			l.send(line)
-		}
-	}
-}
-
-func (l *link) send(line []byte) {
-	select {
-	case l.queue <- line:
-	default:
-		select {
-		case l.overflow <- struct{}{}:
-		default:
+			l.out.Send(line)
 		}
 	}
 }
@@ -123,7 +109,7 @@
 	}
 	lines := bufio.NewScanner(r.Body)
 	lines.Buffer(make([]byte, 16<<10), maxLine)
-	lines.Split(wholeLines)
+	lines.Split(stream.WholeLines)
 	for lines.Scan() {
 		var m core.PeerMsg
 		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
@@ -153,81 +139,16 @@
 
 // stream opens one stream and writes to it until it breaks.
 func (p *Peers) stream(ctx context.Context, l *link) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	transport := &http2.Transport{AllowHTTP: true, ReadIdleTimeout: p.period(), PingTimeout: p.period(),
 		DialTLSContext: func(ctx context.Context, network, addr string, _ *tls.Config) (net.Conn, error) {
 			d := net.Dialer{Timeout: p.period()}
 			return d.DialContext(ctx, "tcp4", addr)
 		}}
 	defer transport.CloseIdleConnections()
-	body, out := io.Pipe()
-	defer out.Close()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.address+streamPath, body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.address+streamPath, nil)
 	if err != nil {
 		return err
 	}
 	req.Header.Set(nodeHeader, p.cfg.Node)
-	res, err := transport.RoundTrip(req)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return errors.New(res.Status)
-	}
-	closed := make(chan error, 1)
-	go func() {
-		_, err := io.Copy(io.Discard, res.Body)
-		closed <- errors.Join(errors.New("stream ended"), err)
-		out.Close()
-	}()
-	l.drain()
-	p.emit(core.PeerUp{Node: l.node})
-	defer p.emit(core.PeerDown{Node: l.node})
-	return l.write(ctx, out, closed)
-}
-
-// drain drops what was queued for an earlier stream.
-func (l *link) drain() {
-	for {
-		select {
-		case <-l.queue:
-		case <-l.overflow:
-		default:
-			return
-		}
-	}
-}
-
-// wholeLines splits at line ends. What is left when a peer ends in the middle of
-// a line is no message.
-func wholeLines(data []byte, _ bool) (int, []byte, error) {
-	if i := bytes.IndexByte(data, '\n'); i >= 0 {
-		return i + 1, data[:i], nil
-	}
-	return 0, nil, nil
-}
-
-// write sends queued messages, as many as there are in one piece.
-func (l *link) write(ctx context.Context, out io.Writer, closed <-chan error) error {
-	var buf []byte
-	for {
-		select {
-		case m := <-l.queue:
-			buf = append(buf[:0], m...)
-		case <-l.overflow:
-			return errors.New("peer is too slow")
-		case err := <-closed:
-			return err
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		for len(buf) < 64<<10 && len(l.queue) > 0 {
-			buf = append(buf, <-l.queue...)
-		}
-		if _, err := out.Write(buf); err != nil {
-			return err
-		}
-	}
+	return l.out.Run(transport, req, func() { p.emit(core.PeerUp{Node: l.node}) }, func() { p.emit(core.PeerDown{Node: l.node}) }, nil)
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -13,6 +13,7 @@
 	PathReport   = "/agent/beat"
 	PathMetrics  = "/metrics"
 	PathList     = "/jobs"
+	PathGateway  = "/gateway"
 	PathCommands = "/do"
 	PathTypes    = "/catalog"
 	PathMachines = "/rentals"
--- a/internal/peer/peer_test.go
+++ b/internal/stream/stream_test.go
@@ -1,4 +1,4 @@
-package peer
+package stream
 
 import (
 	"bufio"
@@ -10,7 +10,7 @@
 // error each time.
 func TestLineCutShortIsNoMessage(t *testing.T) {
 	lines := bufio.NewScanner(strings.NewReader("{\"s\":1}\n{}\n{\"t"))
-	lines.Split(wholeLines)
+	lines.Split(WholeLines)
 	var got []string
 	for lines.Scan() {
 		got = append(got, lines.Text())
