--- /dev/null
+++ b/internal/core/gate_test.go
@@ -0,0 +1,264 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"pepperlever/internal/gateway"
+	"pepperlever/internal/protocol"
+)
+
+// far plays another site, which answers messages as a test wants. Its jobs never
+// leave a message out: whatever is not answered is sent again.
+type far struct {
+	w *world
+	// decide answers an offer, end tells the state in which the job has ended there,
+	// or nothing yet.
+	decide func(m gateway.Message) gateway.Message
+	end    func() string
+	seen   int
+	taken  map[gateway.Epoch]gateway.Message
+}
+
+// joined is a world whose controllers have a gateway to a site called far.
+func joined(t *testing.T) (*world, *far) {
+	w := newWorld(t)
+	w.gateways = map[string]*gateway.Config{}
+	for _, n := range nodeNames {
+		cfg := gateway.Default()
+		cfg.Site, cfg.RetryS, cfg.RetryMaxS = "near", 1, 4
+		cfg.Peers = []gateway.Peer{{Site: "far", AtOnce: 10, Takes: 10, Zones: []string{"z9"}}}
+		cfg.Class = []gateway.Class{{Name: "k", To: []gateway.Site{"far"}, Accept: []gateway.Site{"far"}, Repeat: true, AfterS: 3600}}
+		w.gateways[n] = &cfg
+	}
+	for _, n := range nodeNames {
+		w.boot(n)
+	}
+	f := &far{w: w, taken: map[gateway.Epoch]gateway.Message{}, end: func() string { return "" }}
+	f.decide = func(m gateway.Message) gateway.Message {
+		return gateway.Message{Kind: gateway.Decided, Accepted: true, Done: 1, Running: 2}
+	}
+	w.ready()
+	return w, f
+}
+
+// play answers what comes, at any controller.
+func (f *far) play(d time.Duration, done func() bool) bool {
+	return f.w.run(d, func() bool {
+		for ; f.seen < len(f.w.sent); f.seen++ {
+			f.hear(f.w.sent[f.seen])
+		}
+		return done()
+	})
+}
+
+func (f *far) say(m gateway.Message) {
+	m.From, m.To = "far", "near"
+	f.w.send(nodeNames[f.seen%len(nodeNames)], SiteIn{Message: m})
+}
+
+func (f *far) hear(m gateway.Message) {
+	answer, known := f.taken[m.Epoch]
+	switch {
+	case m.Kind == gateway.Asked:
+		f.say(gateway.Message{Kind: gateway.Viewed, Nonce: m.Nonce, View: &gateway.View{}})
+		return
+	case m.Kind == gateway.CancelAsked && !known:
+		answer = gateway.Message{Kind: gateway.Decided, Reason: "cancelled"}
+	case m.Kind == gateway.Offered && !known:
+		answer = f.decide(m)
+	case m.Kind != gateway.Offered && m.Kind != gateway.CancelAsked:
+		return
+	}
+	f.taken[m.Epoch] = answer
+	if state := f.end(); answer.Accepted && state != "" {
+		answer = gateway.Message{Kind: gateway.Ended, State: state}
+	}
+	answer.Epoch = m.Epoch
+	f.say(answer)
+}
+
+// elsewhere is what a job asks for that only far has.
+const elsewhere = `,"yard":"z9"`
+
+// handIn hands in a job that only far can run.
+func (f *far) handIn(id string) {
+	f.w.t.Helper()
+	if a := f.w.submit("a", id, 3, elsewhere); a.Status != http.StatusCreated {
+		f.w.t.Fatalf("submission got %d", a.Status)
+	}
+}
+
+// A job that is away is bound nowhere here, is followed from every controller, and
+// has its one end from the far site, whichever controllers end meanwhile.
+func TestJobThatIsAwayEndsAsTheFarSiteSays(t *testing.T) {
+	w, f := joined(t)
+	f.handIn("req-red-1")
+	if !f.play(time.Minute, func() bool {
+		return w.status("b", "req-red-1").Body.(protocol.JobState) == protocol.JobState{ID: "req-red-1", State: protocol.Running, Done: 1, Running: 2}
+	}) {
+		t.Fatal("its progress is not followed")
+	}
+	for _, n := range nodeNames {
+		w.crash(n)
+		w.expire(n)
+		w.boot(n)
+		f.play(10*time.Second, func() bool { return false })
+	}
+	w.ready()
+	f.end = func() string { return protocol.Done }
+	if !f.play(time.Minute, w.finished("req-red-1")) {
+		t.Fatal("its end is not stored")
+	}
+	f.play(5*time.Second, func() bool { return false })
+	for _, n := range nodeNames {
+		if s := w.status(n, "req-red-1").Body.(protocol.JobState); s.State != protocol.Done || s.Done != 3 {
+			t.Errorf("%s says %+v", n, s)
+		}
+	}
+	if len(w.starts) > 0 || w.kv[activeKey("req-red-1")].Version > 0 || w.kv[awayKey("req-red-1")].Version > 0 {
+		t.Errorf("started here: %v, or not tidied up", w.starts)
+	}
+}
+
+// Cancelled is said only once the far site has told of the end, or of a refusal.
+func TestCancelOfAJobThatIsAway(t *testing.T) {
+	for _, accepted := range []bool{true, false} {
+		w, f := joined(t)
+		if !accepted {
+			f.decide = func(gateway.Message) gateway.Message { return gateway.Message{} } // no answer that counts
+		}
+		f.handIn("req-red-1")
+		if !f.play(time.Minute, func() bool { return len(f.taken) > 0 && w.cores["a"].away("req-red-1") }) {
+			t.Fatal("not handed off")
+		}
+		delete(f.taken, 0)
+		if !accepted {
+			clear(f.taken)
+		}
+		if a := w.cancelJob("c", "req-red-1"); a.Status != http.StatusServiceUnavailable || a.RetryAfter < 1 {
+			t.Errorf("accepted %v: cancel got %d", accepted, a.Status)
+		}
+		f.end = func() string { return protocol.Cancelled }
+		if !f.play(time.Minute, func() bool { return w.cancelJob("b", "req-red-1").Status == http.StatusOK }) {
+			t.Fatalf("accepted %v: never cancelled", accepted)
+		}
+		f.play(5*time.Second, func() bool { return false })
+		if s := w.status("a", "req-red-1").Body.(protocol.JobState); s.State != protocol.Cancelled || w.kv[activeKey("req-red-1")].Version > 0 {
+			t.Errorf("accepted %v: %+v", accepted, s)
+		}
+	}
+}
+
+// After a stored refusal a job runs here as if nothing had been.
+func TestRefusedJobRunsAtHome(t *testing.T) {
+	w, f := joined(t)
+	for _, n := range nodeNames {
+		w.gateways[n].Class[0].AfterS = 0
+	}
+	f.decide = func(gateway.Message) gateway.Message {
+		return gateway.Message{Kind: gateway.Decided, Reason: "not today"}
+	}
+	if a := w.submit("a", "req-red-1", 3, ""); a.Status != http.StatusCreated {
+		t.Fatalf("submission got %d", a.Status)
+	}
+	if !f.play(2*time.Minute, w.finished("req-red-1")) {
+		t.Fatal("it does not run")
+	}
+	w.startedOnce()
+}
+
+// A job of another site runs here under an id of its own, which users can neither
+// hand in nor cancel, and its end is told until the far site has closed it.
+func TestJobOfAnotherSiteRunsHereAndItsEndIsTold(t *testing.T) {
+	w, f := joined(t)
+	f.play(10*time.Second, func() bool { return false })
+	offer := func(epoch gateway.Epoch, body string) gateway.Message {
+		return gateway.Message{Kind: gateway.Offered, Epoch: epoch, Ticket: &gateway.Ticket{Origin: "far", To: "near", Job: "req-x",
+			Class: "k", Epoch: epoch, Path: []gateway.Site{"far"}, Body: json.RawMessage(body)}}
+	}
+	told := func(kind gateway.Kind, epoch gateway.Epoch) *gateway.Message {
+		i := slices.IndexFunc(w.sent, func(m gateway.Message) bool { return m.Kind == kind && m.Epoch == epoch })
+		if i < 0 {
+			return nil
+		}
+		return &w.sent[i]
+	}
+	f.say(offer(1, submission("req-x", "red", 2, "")))
+	f.say(offer(2, submission("req-x", "nobody", 2, "")))
+	f.say(offer(3, submission("req-x", "red", 2, elsewhere)))
+	if !f.play(time.Minute, func() bool { return told(gateway.Ended, 1) != nil }) || told(gateway.Ended, 1).State != protocol.Done {
+		t.Fatal("its end is not told")
+	}
+	for epoch, why := range map[gateway.Epoch]string{2: "team is unknown", 3: "zone is unknown"} {
+		if m := told(gateway.Decided, epoch); m == nil || m.Accepted || m.Reason != why {
+			t.Errorf("epoch %d: %+v", epoch, m)
+		}
+	}
+	for req, want := range map[string]int{"req-gw-far-1": http.StatusUnprocessableEntity, "req-gw-far-9": http.StatusUnprocessableEntity} {
+		if a := w.cancelJob("a", req); a.Status != want {
+			t.Errorf("cancel of %s got %d", req, a.Status)
+		}
+	}
+	if a := w.submit("a", "req-gw-far-7", 1, ""); a.Status != http.StatusBadRequest {
+		t.Errorf("a user's job with such an id got %d", a.Status)
+	}
+	w.startedOnce()
+	f.say(gateway.Message{Kind: gateway.Closed, Epoch: 1, Floor: 3})
+	if !f.play(time.Minute, func() bool { return len(w.cores["a"].sites.Taken) == 0 && w.cores["b"].sites.Floors["far"] == 3 }) {
+		t.Errorf("not forgotten: %v", w.cores["a"].sites.Taken)
+	}
+}
+
+// A controller without the gateway's file would run jobs that are away: nothing is
+// handed off while one lives, and one that comes later takes no teams.
+func TestControllersWithoutTheFile(t *testing.T) {
+	w, f := joined(t)
+	file := w.gateways["c"]
+	delete(w.gateways, "c")
+	w.crash("c")
+	w.expire("c")
+	w.boot("c")
+	w.ready()
+	f.handIn("req-red-1")
+	if f.play(20*time.Second, func() bool { return len(f.taken) > 0 }) {
+		t.Error("handed off although a controller does not know")
+	}
+	w.crash("c")
+	w.expire("c")
+	if !f.play(time.Minute, func() bool { return len(f.taken) > 0 }) {
+		t.Fatal("not handed off")
+	}
+	w.boot("c")
+	f.play(20*time.Second, func() bool { return false })
+	for _, team := range w.cores["c"].teams {
+		if team.acting {
+			t.Errorf("it is home of %s", team.Name)
+		}
+	}
+	w.gateways["c"] = file
+}
+
+// Writes whose answers are lost leave the gateway's records as the state service
+// has them.
+func TestGatewayFindsOutAboutUnansweredWrites(t *testing.T) {
+	w, f := joined(t)
+	f.decide = func(gateway.Message) gateway.Message {
+		w.unknown = 1 + len(f.taken)%3 // the next writes, of whoever it is
+		return gateway.Message{Kind: gateway.Decided, Accepted: true}
+	}
+	f.end = func() string { w.unknown++; return protocol.Done }
+	for i := range 5 {
+		f.handIn(fmt.Sprintf("req-red-%d", i))
+	}
+	if !f.play(3*time.Minute, w.finished("req-red-0", "req-red-1", "req-red-2", "req-red-3", "req-red-4")) {
+		t.Errorf("not all end: %+v", w.cores["a"].sites.Records)
+	}
+	if len(w.starts) > 0 {
+		t.Errorf("started here: %v", w.starts)
+	}
+}
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -63,11 +63,11 @@
 
 // preferred is the controller that should be the home of team i: the same one
 // for as long as it lives, so that an end elsewhere moves only the teams of
-// that node.
+// that node. One that does not keep away from jobs that are away is left out.
 func (c *Core) preferred(i int) string {
 	for n := range c.roster {
 		node := c.roster[(i+n)%len(c.roster)]
-		if _, live := c.nodes[node]; live {
+		if n, live := c.nodes[node]; live && (n.Gate || len(c.sites.versions) == 0) {
 			return node
 		}
 	}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -13,6 +13,7 @@
 	"github.com/segmentio/encoding/json"
 
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/gateway"
 	"pepperlever/internal/protocol"
 	"pepperlever/internal/settings"
 )
@@ -62,6 +63,10 @@
 	racing bool
 	// broken jobs fail wherever they run, on faulty machines everything does.
 	broken, faulty map[string]bool
+	// gateways holds the gateway files of the nodes that have one; sent is what was
+	// sent to other sites.
+	gateways map[string]*gateway.Config
+	sent     []gateway.Message
 }
 
 // fakeWorker follows the worker's side of the protocol.
@@ -111,6 +116,9 @@
 	w.cfg[node] = testSettings(node)
 	w.nextReq++
 	w.cores[node] = New(w.cfg[node], settings.DefaultPolicy(), fmt.Sprint(node, w.nextReq))
+	if g := w.gateways[node]; g != nil {
+		w.cores[node].Join(g)
+	}
 	w.inbox[node] = nil
 	w.load(node)
 	lease := w.nextReq
@@ -207,6 +215,8 @@
 				w.send(to, PeerIn{Node: node, Msg: e.Msg})
 			}
 		}
+	case SendSite:
+		w.sent = append(w.sent, e.Message)
 	case Deliver:
 		if w.loseDo {
 			w.held = append(w.held, e)
--- a/internal/lab/advance.go
+++ b/internal/lab/advance.go
@@ -45,6 +45,7 @@
 	case waiting:
 		f.exit(t, alone)
 	case protocol.Running:
+		f.completed++
 		f.exit(t, protocol.WhyDone)
 	case saving:
 		f.exit(t, protocol.WhyStopped)
--- a/internal/lab/stages.go
+++ b/internal/lab/stages.go
@@ -141,7 +141,7 @@
 				return
 			}
 			if cancel {
-				_, _ = c.Cancel(ctx, id) // the end of the job tells
+				go func() { _, _ = c.Cancel(ctx, id) }() // the end of the job tells
 			}
 			sleep(ctx, f.lasts)
 			f.end(p)
--- a/internal/sitelink/link.go
+++ b/internal/sitelink/link.go
@@ -188,14 +188,14 @@
 
 // keep opens a stream to one of a peer's controllers after the other.
 func (l *Links) keep(ctx context.Context, cfg *gateway.Config, s *secrets, p gateway.Peer) {
-	told := ""
+	told := false
 	for i := 0; ctx.Err() == nil; i++ {
 		if len(p.Addresses) > 0 {
-			err := l.dial(ctx, cfg, s, p.Site, p.Addresses[i%len(p.Addresses)])
-			if ctx.Err() == nil && err.Error() != told {
-				told = err.Error()
-				slog.Info("no stream to site", "site", p.Site, "error", told)
+			opened, err := l.dial(ctx, cfg, s, p.Site, p.Addresses[i%len(p.Addresses)])
+			if ctx.Err() == nil && (opened || !told) {
+				slog.Info("no stream to site", "site", p.Site, "error", err)
 			}
+			told = true
 		}
 		select {
 		case <-time.After(period(cfg) / 4):
@@ -209,7 +209,9 @@
 	return time.Duration(cfg.RetryS * float64(time.Second))
 }
 
-func (l *Links) dial(ctx context.Context, cfg *gateway.Config, s *secrets, site gateway.Site, address string) error {
+// dial opens a stream and writes to it until it breaks; opened tells that it was open
+// for a while, err why it no longer is.
+func (l *Links) dial(ctx context.Context, cfg *gateway.Config, s *secrets, site gateway.Site, address string) (opened bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	conf := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{s.own}, RootCAs: s.authority,
@@ -224,19 +226,20 @@
 	defer t.CloseIdleConnections()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+string(site)+streamPath, nil)
 	if err != nil {
-		return err
+		return false, err
 	}
 	l.mu.Lock()
 	out := l.outs[site]
 	l.mu.Unlock()
-	return out.Run(t, req,
-		func() { slog.Info("stream to site is open", "site", site, "address", address) }, func() {},
+	err = out.Run(t, req,
+		func() { opened = true; slog.Info("stream to site is open", "site", site, "address", address) }, func() {},
 		func(back io.Reader) {
 			lines := bufio.NewScanner(back)
 			for lines.Scan() {
 				slog.Error("site has refused a message", "site", site, "why", lines.Text())
 			}
 		})
+	return opened, err
 }
 
 func (l *Links) serve(ctx context.Context, ln net.Listener) error {
