--- a/internal/sitelink/link.go
+++ b/internal/sitelink/link.go
@@ -218,10 +218,11 @@
 		ServerName: string(site), NextProtos: []string{http2.NextProtoTLS}}
 	t := &http2.Transport{TLSClientConfig: conf, ReadIdleTimeout: period(cfg), PingTimeout: period(cfg),
 		DialTLSContext: func(ctx context.Context, _, _ string, conf *tls.Config) (net.Conn, error) {
-			d := tls.Dialer{NetDialer: &net.Dialer{Timeout: period(cfg)}, Config: conf}
-			ctx, cancel := context.WithTimeout(ctx, period(cfg))
-			defer cancel()
-			return d.DialContext(ctx, "tcp4", address)
+			raw, err := (&net.Dialer{Timeout: period(cfg)}).DialContext(ctx, "tcp4", address)
+			if err != nil {
+				return nil, err
+			}
+			return greet(raw, conf, period(cfg))
 		}}
 	defer t.CloseIdleConnections()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+string(site)+streamPath, nil)
@@ -242,6 +243,34 @@
 	return opened, err
 }
 
+// greeted is a connection whose first bytes have been looked at.
+type greeted struct {
+	net.Conn
+	buffered *bufio.Reader
+}
+
+func (g greeted) Read(p []byte) (int, error) { return g.buffered.Read(p) }
+
+// greet proves who this site is, and waits for the first word of the other one: only
+// that shows that it takes the certificate. Without it the reason of a refusal was
+// often lost behind an error of writing.
+func greet(raw net.Conn, conf *tls.Config, patience time.Duration) (net.Conn, error) {
+	conn := tls.Client(raw, conf)
+	g := greeted{conn, bufio.NewReader(conn)}
+	err := raw.SetDeadline(time.Now().Add(patience))
+	if err == nil {
+		err = conn.Handshake()
+	}
+	if err == nil {
+		_, err = g.buffered.Peek(1)
+	}
+	if err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return g, raw.SetDeadline(time.Time{})
+}
+
 func (l *Links) serve(ctx context.Context, ln net.Listener) error {
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
 	for {
--- a/internal/sitelink/link_test.go
+++ b/internal/sitelink/link_test.go
@@ -87,9 +87,11 @@
 	served := make(chan struct{})
 	go func() { defer close(served); p.west.accept(ctx, theirs) }()
 	defer func() { ours.Close(); <-served }()
-	conn := tls.Client(ours, &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert},
-		RootCAs: p.west.secrets.authority, ServerName: "west", NextProtos: []string{http2.NextProtoTLS}})
-	transport := &http2.Transport{DialTLSContext: func(context.Context, string, string, *tls.Config) (net.Conn, error) { return conn, nil }}
+	conf := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert},
+		RootCAs: p.west.secrets.authority, ServerName: "west", NextProtos: []string{http2.NextProtoTLS}}
+	transport := &http2.Transport{DialTLSContext: func(context.Context, string, string, *tls.Config) (net.Conn, error) {
+		return greet(ours, conf, time.Minute)
+	}}
 	defer transport.CloseIdleConnections()
 	body, in := io.Pipe()
 	go func() {
