--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -136,6 +136,8 @@
 // every key that failed is not relied on: what it does not name is asked again.
 func (c *Core) checked(id string, qs []question, r StoreReply) {
 	switch {
+	case r.Outcome == Applied && qs[0].exists && c.untoldAway(id):
+		tellAll(qs, untold, protocol.JobState{})
 	case r.Outcome == Applied && qs[0].exists:
 		tellAll(qs, active, c.display(id))
 	case r.Outcome == Applied:
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -144,8 +144,8 @@
 		in.Unfit = c.unfit(m.Ticket)
 	}
 	if job, ok := c.awayUnder(m); ok && m.Kind == gateway.Decided && m.Accepted {
-		c.progressed(job, progress{m.Done, m.Running})
-		c.broadcast(PeerMsg{Site: &SiteNote{Job: job, Done: m.Done, Running: m.Running}})
+		c.progressed(job, Progress{m.Done, m.Running})
+		c.broadcast(PeerMsg{Site: &SiteNote{Progress: map[string]Progress{job: c.sites.progress[job]}}})
 	}
 	g.inputs = append(g.inputs, in)
 }
@@ -156,13 +156,20 @@
 }
 
 // progressed notes how a job that is away gets on. What was done stays done.
-func (c *Core) progressed(id string, p progress) {
+func (c *Core) progressed(id string, p Progress) {
 	if _, away := c.sites.Away[id]; away {
 		p.Done = max(p.Done, c.sites.progress[id].Done)
 		c.sites.progress[id] = p
 	}
 }
 
+// untoldAway tells whether nobody here knows how an accepted job that is away gets on:
+// anything said of it might be older than what its user was told before.
+func (c *Core) untoldAway(id string) bool {
+	_, told := c.sites.progress[id]
+	return c.sites.Away[id].Accepted && !told
+}
+
 // unfit tells why a job of another site can never run here, or nothing.
 func (c *Core) unfit(t *gateway.Ticket) string {
 	s, err := job.Parse(t.Body, c.specBytes())
@@ -285,8 +292,10 @@
 		if g.machine != nil { // it is not passed on a second time
 			c.siteIn(*n.Message)
 		}
-	case n.Job != "":
-		c.progressed(n.Job, progress{n.Done, n.Running})
+	case n.Progress != nil:
+		for id, p := range n.Progress {
+			c.progressed(id, p)
+		}
 	case n.Cancel != "" && g.machine != nil:
 		g.inputs = append(g.inputs, gateway.Cancel{Job: n.Cancel})
 	case n.Ask != nil && g.machine != nil:
--- a/internal/core/gate_test.go
+++ b/internal/core/gate_test.go
@@ -107,7 +107,14 @@
 		w.crash(n)
 		w.expire(n)
 		w.boot(n)
-		f.play(10*time.Second, func() bool { return false })
+		f.play(10*time.Second, func() bool {
+			for _, n := range nodeNames {
+				if s, told := w.status(n, "req-red-1").Body.(protocol.JobState); told && (s.Done != 1 || s.State != protocol.Running) {
+					t.Fatalf("%s says %+v, which is older than what was told", n, s)
+				}
+			}
+			return false
+		})
 	}
 	w.ready()
 	f.end = func() string { return protocol.Done }
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -221,16 +221,20 @@
 }
 
 // SiteNote is what controllers say to one another about the gateway. One of its
-// parts is set: a message of another site, a job to be cancelled, a job's progress,
+// parts is set: a message of another site, a job to be cancelled, jobs' progress,
 // an operator's question, or its answer.
 type SiteNote struct {
-	Message *gateway.Message `json:"m,omitempty"`
-	Cancel  string           `json:"c,omitempty"`
-	Job     string           `json:"j,omitempty"`
-	Done    int              `json:"d,omitempty"`
-	Running int              `json:"r,omitempty"`
-	Ask     *SiteAsk         `json:"a,omitempty"`
-	Told    *SiteTold        `json:"t,omitempty"`
+	Message  *gateway.Message    `json:"m,omitempty"`
+	Cancel   string              `json:"c,omitempty"`
+	Progress map[string]Progress `json:"p,omitempty"`
+	Ask      *SiteAsk            `json:"a,omitempty"`
+	Told     *SiteTold           `json:"t,omitempty"`
+}
+
+// Progress is how a job that is away gets on.
+type Progress struct {
+	Done    int `json:"d,omitempty"`
+	Running int `json:"r,omitempty"`
 }
 
 // SiteAsk is an operator's question, or word, to the gateway.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"maps"
 	"time"
 
 	"pepperlever/internal/core/fairness"
@@ -68,6 +69,9 @@
 	for part := range parts(all) {
 		c.sendPeer(node, PeerMsg{Observations: part})
 	}
+	if len(c.sites.progress) > 0 {
+		c.sendPeer(node, PeerMsg{Site: &SiteNote{Progress: maps.Clone(c.sites.progress)}})
+	}
 }
 
 // tasksPerMsg bounds the size of one message: the reports of machines with
--- a/internal/core/sites.go
+++ b/internal/core/sites.go
@@ -40,15 +40,13 @@
 	// doubted holds jobs that were found to be away before their records came.
 	doubted map[string]time.Duration
 	// progress is what the far sites have told of jobs that are away, for display.
-	progress map[string]progress
+	progress map[string]Progress
 }
 
-type progress struct{ Done, Running int }
-
 func newSiteRecords() siteRecords {
 	return siteRecords{Records: gateway.Records{Last: map[gateway.Site]gateway.Epoch{}, Away: map[string]gateway.Away{},
 		Taken: map[gateway.Hold]gateway.Taken{}, Floors: map[gateway.Site]gateway.Epoch{}, Drained: map[gateway.Site]bool{}},
-		versions: map[string]uint64{}, gone: map[string]uint64{}, doubted: map[string]time.Duration{}, progress: map[string]progress{}}
+		versions: map[string]uint64{}, gone: map[string]uint64{}, doubted: map[string]time.Duration{}, progress: map[string]Progress{}}
 }
 
 // away tells whether another site has the right to a job.
