Test that hand-offs meet bindings and cancellations in the state service

Second locks that no test can tell: the look at the record before a cancellation is stored, and a controller without the file that steps back by itself.

--- a/internal/core/gate_test.go
+++ b/internal/core/gate_test.go
@@ -269,3 +269,63 @@
 		t.Errorf("started here: %v", w.starts)
 	}
 }
+
+// silently writes a key that no watch tells of yet.
+func (w *world) silently(key string, v any) {
+	w.revision++
+	w.kv[key] = protocol.KeyValue{Key: key, Value: raw(v), Version: w.revision}
+}
+
+// Bindings, hand-offs and cancellations meet in the state service, whatever the
+// controllers have heard by then.
+func TestHandOffsMeetBindingsAndCancellations(t *testing.T) {
+	away := gateway.Away{Epoch: 1, To: "far", Accepted: true}
+	for name, c := range map[string]struct {
+		more   string
+		before func(w *world)
+		holds  func(w *world) bool
+	}{
+		"a binding after a hand-off": {before: func(w *world) { w.silently(awayKey("req-red-1"), away) },
+			holds: func(w *world) bool { return len(w.starts) == 0 }},
+		"a cancellation after a hand-off": {before: func(w *world) { w.silently(awayKey("req-red-1"), away) },
+			holds: func(w *world) bool {
+				return w.cancelJob("b", "req-red-1").Status == http.StatusServiceUnavailable && w.kv[keyState+"req-red-1"].Version == 0
+			}},
+		"a hand-off after a binding": {more: elsewhere, before: func(w *world) { w.silently(activeKey("req-red-1"), "bound meanwhile") },
+			holds: func(w *world) bool { return w.kv[awayKey("req-red-1")].Version == 0 }},
+		"a hand-off after a cancellation": {more: elsewhere, before: func(w *world) { w.silently(cancelKey("req-red-1"), struct{}{}) },
+			holds: func(w *world) bool { return w.kv[awayKey("req-red-1")].Version == 0 }},
+		"a hand-off after a drain by another": {more: elsewhere, before: func(w *world) {
+			w.change(protocol.Change{Put: drainedKey("far"), Value: raw(struct{}{})})
+		}, holds: func(w *world) bool { return w.kv[awayKey("req-red-1")].Version == 0 }},
+	} {
+		w, f := joined(t)
+		f.play(10*time.Second, func() bool { return false }) // the sites meet
+		w.nextReq++
+		w.send("a", Submit{Req: w.nextReq, Body: []byte(submission("req-red-1", "red", 3, c.more))})
+		if !w.run(time.Second, func() bool { _, there := w.kv[activeKey("req-red-1")]; return there }) {
+			t.Fatalf("%s: not accepted", name)
+		}
+		c.before(w)
+		f.play(15*time.Second, func() bool { return false })
+		if !c.holds(w) {
+			t.Errorf("%s: starts %v, away %d, state %d", name, w.starts, w.kv[awayKey("req-red-1")].Version, w.kv[keyState+"req-red-1"].Version)
+		}
+	}
+}
+
+// A job that is away is not even tried to be placed.
+func TestJobThatIsAwayIsNotPlaced(t *testing.T) {
+	w, f := joined(t)
+	w.change(protocol.Change{Put: awayKey("req-red-1"), Value: raw(gateway.Away{Epoch: 1, To: "far"})})
+	f.play(time.Second, func() bool { return false })
+	if a := w.submit("a", "req-red-1", 3, ""); a.Status != http.StatusCreated {
+		t.Fatalf("submission got %d", a.Status)
+	}
+	f.play(15*time.Second, func() bool { return false })
+	for n, c := range w.cores {
+		if j := c.jobs["req-red-1"]; j.Attempt > 0 || c.allowance(j) > 0 {
+			t.Errorf("%s has tried to bind it", n)
+		}
+	}
+}
--- a/internal/gateway/meet_test.go
+++ b/internal/gateway/meet_test.go
@@ -52,8 +52,8 @@
 		}
 		w.play(20 * time.Second)
 		if c.final == Cancelled {
-			if w.roots["req-1"].final != "" {
-				t.Errorf("%s: it was %s", name, w.roots["req-1"].final)
+			if _, away := w.sites["a"].records.Away["req-1"]; !away || w.roots["req-1"].final != "" {
+				t.Errorf("%s: it is at home again, or %q", name, w.roots["req-1"].final)
 			}
 			w.cancel("a", "req-1")
 		}
--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -69,6 +69,56 @@
 	t.Logf("%d cases: %d final answers, %d runs to the end, the others cancelled", cases, answers, runs)
 }
 
+// A cancellation ends a job at the site that has it, however long it would have run.
+func TestCancelEndsAnAcceptedJob(t *testing.T) {
+	w := newSim(t.Errorf)
+	w.submit("a", "req-1", "k")
+	for range 30 {
+		w.now += time.Second
+		for _, s := range siteNames {
+			w.tick(s, fine)
+		}
+		for len(w.flying) > 0 {
+			w.deliver(0, false, fine)
+		}
+		if w.sites["a"].records.Away["req-1"].Accepted {
+			w.cancel("a", "req-1")
+		}
+	}
+	if r := w.roots["req-1"]; r.final != Cancelled || r.runs > 0 {
+		t.Errorf("it is %q after %d runs", r.final, r.runs)
+	}
+}
+
+// What an origin has closed is told one by one, and goes from the receiver's records
+// once all before it is closed, wherever it lies.
+func TestClosedHandOffsAreToldAndForgotten(t *testing.T) {
+	m := routed(nil, Away{To: "b"}, Away{To: "b"})
+	delete(m.records.Away, "req-away-b1")
+	m.load(m.records)
+	closed := false
+	for _, e := range m.Step(2*time.Second, Received{Message: Message{From: "b", To: "a", Kind: Ended, Epoch: 2, State: Done}}) {
+		if s, ok := e.(Send); ok && s.Message.Kind == Closed {
+			closed = s.Message.Epoch == 2 && s.Message.Floor == 0
+		}
+	}
+	if !closed {
+		t.Error("an epoch that is closed beside an open one is told again and again")
+	}
+	r := Records{}.copy()
+	r.Floors["b"] = 5
+	r.Taken[Hold{"b", 3}] = Taken{Reason: busy}
+	var drop []Hold
+	for _, e := range m.Step(3*time.Second, Loaded{r}) {
+		if s, ok := e.(Store); ok {
+			drop = append(drop, s.Write.(Forget).Drop...)
+		}
+	}
+	if len(drop) != 1 || drop[0] != (Hold{"b", 3}) {
+		t.Errorf("forgets %v of what lies below the floor", drop)
+	}
+}
+
 // until plays without trouble until the n-th message is on its way, and tells
 // whether there is one.
 func (w *sim) until(n int) bool {
