Tell a peer that can be reached again at once all that is open

Cause: after a cut of 8 s the last of ten results came 7.7 s after the link's return, since both sites waited for their longest pause (measured on two sites on loopback, 10 ms apart). A stream that opens makes all that is open due, as far as the budget goes.

--- a/cmd/pepperlever/lab.go
+++ b/cmd/pepperlever/lab.go
@@ -18,9 +18,9 @@
 
 // labFlags are the flags of the lab.
 type labFlags struct {
-	config, data, images, job string
-	print, two, cut, measure  bool
-	link                      time.Duration
+	config, data, images, job, only string
+	print, two, cut, measure        bool
+	link                            time.Duration
 }
 
 func labCommand() *cobra.Command {
@@ -39,6 +39,7 @@
 	fl.BoolVar(&f.two, "two-sites", false, "run two sites that hand jobs of class goes from the first to the second")
 	fl.DurationVar(&f.link, "link", 0, "how long a message takes between the two sites")
 	fl.BoolVar(&f.cut, "cut-every-stage", false, "with two sites: cause every trouble at every message of a hand-off, count runs and answers, then stop")
+	fl.StringVar(&f.only, "only", "", "with --cut-every-stage: only troubles whose name holds this, such as killed or hanging")
 	fl.BoolVar(&f.measure, "measure", false, "with two sites: measure hand-offs a second, added latency and recovery, then stop")
 	fl.BoolVar(&f.print, "print-config", false, "print the site's file with all defaults, and stop")
 	return cmd
@@ -101,7 +102,7 @@
 		defer stop()
 		switch {
 		case f.cut:
-			return pair.CutEveryStage(ctx, cmd.OutOrStdout())
+			return pair.CutEveryStage(ctx, cmd.OutOrStdout(), f.only)
 		case f.measure:
 			return pair.Measure(ctx, cmd.OutOrStdout())
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"pepperlever/internal/core/fairness"
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/worker"
+	"pepperlever/internal/gateway"
 	"pepperlever/internal/protocol"
 	"pepperlever/internal/settings"
 )
@@ -196,6 +197,10 @@
 		c.released(m)
 	case SiteIn:
 		c.siteIn(m.Message)
+	case SiteUp:
+		if c.gate != nil && c.gate.machine != nil {
+			c.gate.inputs = append(c.gate.inputs, gateway.Reachable{Site: m.Site})
+		}
 	case SiteConfig:
 		c.siteConfig(m.Config)
 	case SiteAsk:
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -136,6 +136,8 @@
 type (
 	// SiteIn is a message of another site, whose sender has been verified.
 	SiteIn struct{ Message gateway.Message }
+	// SiteUp tells that messages can be sent to another site.
+	SiteUp struct{ Site gateway.Site }
 	// SiteConfig is the gateway file, read again after a change.
 	SiteConfig struct{ Config *gateway.Config }
 )
--- a/internal/gateway/agenda.go
+++ b/internal/gateway/agenda.go
@@ -75,6 +75,14 @@
 	heap.Push(a, e)
 }
 
+// hasten makes everything due by now.
+func (a *agenda) hasten(now time.Duration) {
+	for _, e := range a.heap {
+		e.due = min(e.due, now)
+	}
+	heap.Init(a)
+}
+
 // drop removes an item.
 func (a *agenda) drop(i item) {
 	if e := a.of[i]; e != nil {
--- a/internal/gateway/machine.go
+++ b/internal/gateway/machine.go
@@ -83,6 +83,8 @@
 		m.endedHere(in)
 	case Cancel:
 		m.cancel(in)
+	case Reachable:
+		m.reachable(in.Site)
 	case GiveUp:
 		m.giveUp(in)
 	case Drain:
@@ -335,6 +337,15 @@
 	}
 }
 
+// reachable has all that is open at a peer told at once, as far as its budget goes.
+// Without it the first word after a long cut waited for the longest pause.
+func (m *Machine) reachable(s Site) {
+	p := m.peer(s)
+	p.breaker.answered()
+	p.askAt = 0
+	p.agenda.hasten(m.now)
+}
+
 // pause is how long to wait after a try: twice as long each time, up to RetryMaxS.
 func (m *Machine) pause(tries int) time.Duration {
 	return min(seconds(m.cfg.RetryS)<<min(tries, 16), seconds(m.cfg.RetryMaxS))
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -204,6 +204,8 @@
 		Site          Site
 		Operator, Why string
 	}
+	// Reachable tells that messages can be sent to a site again.
+	Reachable struct{ Site Site }
 	// Configured is the operator's file, read again.
 	Configured struct{ Config *Config }
 )
--- a/internal/gateway/route_test.go
+++ b/internal/gateway/route_test.go
@@ -161,6 +161,26 @@
 	}
 }
 
+// After a long cut the first word waited for the longest pause.
+func TestReachablePeerIsToldAtOnce(t *testing.T) {
+	m := routed(nil, Away{To: "b"})
+	now := 2 * time.Second
+	for ; now < 5*time.Minute; now += time.Second {
+		m.Step(now) // nothing answers
+	}
+	tell := func(in ...Input) (n int) {
+		for _, e := range m.Step(now, in...) {
+			if s, ok := e.(Send); ok && s.Message.To == "b" && s.Message.Kind == Offered {
+				n++
+			}
+		}
+		return n
+	}
+	if before, after := tell(), tell(Reachable{"b"}); before != 0 || after != 1 {
+		t.Errorf("told %d times before it was reachable, %d then", before, after)
+	}
+}
+
 func TestJitterSpreadsAroundThePause(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 1000 {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -43,7 +43,7 @@
 	before := p.changes()
 	for range n {
 		start := time.Now()
-		id, err := p.submit(ctx, c, class)
+		id, err := p.submit(ctx, c, class, 0.01)
 		if err != nil {
 			return err
 		}
@@ -65,11 +65,12 @@
 // last result takes once the link is back.
 func (p *Pair) recovery(ctx context.Context, out io.Writer, c *client.Client, n int) error {
 	start := time.Now()
-	ids, err := p.submitAll(ctx, c, n)
+	runs := 3 + float64(n)/50 // none comes back before all are away
+	ids, err := p.submitAll(ctx, c, n, runs)
 	if err != nil {
 		return err
 	}
-	if err := p.until(ctx, func() bool { return p.Sites[0].State.count("j/ga/") >= n || time.Since(start) > caseTime }); err != nil {
+	if err := p.until(ctx, func() bool { return p.Sites[0].State.count("j/ga/") >= n || time.Since(start).Seconds() > runs }); err != nil {
 		return err
 	}
 	away := p.Sites[0].State.count("j/ga/")
@@ -77,7 +78,8 @@
 	for _, l := range p.Links {
 		l.Set(Hang)
 	}
-	sleep(ctx, 10*time.Second)
+	cut := seconds(runs) + 5*time.Second
+	sleep(ctx, cut)
 	for _, l := range p.Links {
 		l.Set(Pass)
 	}
@@ -87,12 +89,15 @@
 			return err
 		}
 	}
-	fmt.Fprintf(out, "%5d in flight behind a link cut for 10 s: last result %.1f s after its return\n", away, time.Since(back).Seconds())
+	fmt.Fprintf(out, "%5d in flight behind a link cut for %.0f s: last result %.1f s after its return\n", away, cut.Seconds(), time.Since(back).Seconds())
 	return nil
 }
 
-func (p *Pair) submit(ctx context.Context, c *client.Client, class string) (string, error) {
-	j := client.Job{Team: p.Sites[0].cfg.Teams[0].Name, Class: class, EstimateS: 0.01, CPUs: 0.1, MemoryGB: 0.1}
+func (p *Pair) submit(ctx context.Context, c *client.Client, class string, runs float64) (string, error) {
+	j := client.Job{Team: p.Sites[0].cfg.Teams[0].Name, Class: class, EstimateS: runs, CPUs: 0.01, MemoryGB: 0.01}
+	if class == Goes {
+		j.Zone = Abroad
+	}
 	if err := j.Fill(); err != nil {
 		return "", err
 	}
@@ -100,14 +105,14 @@
 	return j.ID, err
 }
 
-func (p *Pair) submitAll(ctx context.Context, c *client.Client, n int) ([]string, error) {
+func (p *Pair) submitAll(ctx context.Context, c *client.Client, n int, runs float64) ([]string, error) {
 	var mu sync.Mutex
 	var ids []string
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(32)
 	for range n {
 		g.Go(func() error {
-			id, err := p.submit(ctx, c, Goes)
+			id, err := p.submit(ctx, c, Goes, runs)
 			mu.Lock()
 			defer mu.Unlock()
 			ids = append(ids, id)
--- a/internal/lab/pair.go
+++ b/internal/lab/pair.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -16,9 +17,12 @@
 	"pepperlever/internal/sitelink"
 )
 
-// Classes of jobs that two sites know: jobs of Goes are handed to the other site at
-// once, all others stay.
-const Goes = "goes"
+// Goes is the class whose jobs may be handed to the second site. Those that can run
+// at the first one at once do; Abroad is a zone that only the second has.
+const (
+	Goes   = "goes"
+	Abroad = "abroad"
+)
 
 // Pair is two sites, with a link for what each sends to the other.
 type Pair struct {
@@ -48,6 +52,7 @@
 		c.Seed += uint64(i)
 		if i > 0 {
 			c.Front = loopback
+			c.Zones = append(slices.Clone(cfg.Zones), Abroad)
 		}
 		if dir != "" {
 			c.Front, dir = cfg.Front, filepath.Join(dir, string(pairNames[i]))
@@ -94,7 +99,7 @@
 // join writes the gateway's files of site i, whose streams go through its link.
 func (p *Pair) join(i int) error {
 	other := p.Sites[1-i]
-	peer := gateway.Peer{Site: pairNames[1-i], AtOnce: gateway.MostAway, Takes: gateway.MostAway}
+	peer := gateway.Peer{Site: pairNames[1-i], AtOnce: gateway.MostAway, Takes: gateway.MostAway, Zones: other.cfg.Zones}
 	for _, k := range other.controllers {
 		ln, err := net.Listen("tcp4", loopback)
 		if err != nil {
--- a/internal/lab/stages.go
+++ b/internal/lab/stages.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"pepperlever/client"
@@ -54,8 +55,8 @@
 
 // CutEveryStage hands jobs over and causes every trouble at every message, in either
 // direction, with and without a cancellation. It prints a line a case, and counts
-// runs and final answers.
-func (p *Pair) CutEveryStage(ctx context.Context, out io.Writer) error {
+// runs and final answers. only, if not empty, picks the troubles whose names hold it.
+func (p *Pair) CutEveryStage(ctx context.Context, out io.Writer, only string) error {
 	c, err := client.New(p.Sites[0].Front())
 	if err != nil {
 		return err
@@ -65,6 +66,9 @@
 	}
 	cases, answers, runs, wrong := 0, 0, 0, 0
 	for _, f := range faults() {
+		if !strings.Contains(f.name, only) {
+			continue
+		}
 		for stage := range stages {
 			for side := range p.Links {
 				for _, cancel := range []bool{false, true} {
@@ -109,7 +113,7 @@
 
 // run hands a job in that goes to the other site, and waits for its end.
 func (p *Pair) run(ctx context.Context, c *client.Client, accepted func(id string)) (client.State, error) {
-	j := client.Job{Team: p.Sites[0].cfg.Teams[0].Name, Class: Goes, EstimateS: 0.5, CPUs: 0.1, MemoryGB: 0.1}
+	j := client.Job{Team: p.Sites[0].cfg.Teams[0].Name, Class: Goes, Zone: Abroad, EstimateS: 0.5, CPUs: 0.1, MemoryGB: 0.1}
 	if err := j.Fill(); err != nil {
 		return client.State{}, err
 	}
--- a/internal/sitelink/authority.go
+++ b/internal/sitelink/authority.go
@@ -108,10 +108,13 @@
 		return err
 	}
 	secret := make([]byte, 32)
-	if _, err := rand.Read(secret); err != nil {
-		return err
+	name := make([]byte, 4)
+	for _, b := range [][]byte{secret, name} {
+		if _, err := rand.Read(b); err != nil {
+			return err
+		}
 	}
-	keys.Keys = append([]TicketKey{{ID: time.Now().UTC().Format("2006-01-02T15:04:05.000"), Secret: hex.EncodeToString(secret)}}, keys.Keys...)
+	keys.Keys = append([]TicketKey{{ID: time.Now().UTC().Format("2006-01-02-") + hex.EncodeToString(name), Secret: hex.EncodeToString(secret)}}, keys.Keys...)
 	raw, err := toml.Marshal(keys)
 	if err != nil {
 		return err
--- a/internal/sitelink/link.go
+++ b/internal/sitelink/link.go
@@ -233,7 +233,11 @@
 	out := l.outs[site]
 	l.mu.Unlock()
 	err = out.Run(t, req,
-		func() { opened = true; slog.Info("stream to site is open", "site", site, "address", address) }, func() {},
+		func() {
+			opened = true
+			slog.Info("stream to site is open", "site", site, "address", address)
+			l.emit(core.SiteUp{Site: site})
+		}, func() {},
 		func(back io.Reader) {
 			lines := bufio.NewScanner(back)
 			for lines.Scan() {
