Give the same effects in the same order for the same commands

Wherever a map is walked and an effect may follow, it is walked in order now; where only sums or a sorted list follow it is left as it was.

--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -119,14 +119,14 @@
 // that has neither that nor an active key was never accepted.
 func (c *Core) check(batch map[string][]question) {
 	var txn protocol.Txn
-	for id, qs := range batch {
+	for id, qs := range ordered(batch) {
 		txn.If = append(txn.If, protocol.Condition{Key: keyState + id})
 		if !qs[0].exists {
 			txn.If = append(txn.If, protocol.Condition{Key: activeKey(id)})
 		}
 	}
 	c.userTxn(txn, func(r StoreReply) {
-		for id, qs := range batch {
+		for id, qs := range ordered(batch) {
 			c.checked(id, qs, r)
 		}
 	})
--- a/internal/core/boots.go
+++ b/internal/core/boots.go
@@ -54,7 +54,7 @@
 func (c *Core) weighBoots() {
 	b := &c.rental.boots
 	seen := map[string][]rental{}
-	for id, at := range c.rental.came {
+	for id, at := range ordered(c.rental.came) {
 		l, listed := c.rental.listed[id]
 		age := c.now.Steady - at
 		switch took, up := b.took[id]; {
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"time"
@@ -35,6 +36,10 @@
 	attempt uint64
 }
 
+func compareAttempts(a, b taskAttempt) int {
+	return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.attempt, b.attempt))
+}
+
 // termState is this node's fencing token and who waits for a newer one.
 type termState struct {
 	term   uint64
@@ -100,7 +105,7 @@
 	c.log(Info, "term taken", "term", term)
 	beats := c.term.beats
 	c.term.beats = nil
-	for id, above := range c.term.raise {
+	for id, above := range ordered(c.term.raise) {
 		if w := c.own[id]; w != nil && w.term <= above {
 			c.raiseTo(id, w)
 		}
@@ -190,7 +195,7 @@
 // again while the reports show that they are still needed.
 func (w *control) takeOrders() []protocol.Command {
 	out := make([]protocol.Command, 0, len(w.orders))
-	for k, cmd := range w.orders {
+	for k, cmd := range orderedBy(w.orders, compareAttempts) {
 		out = append(out, cmd)
 		delete(w.orders, k)
 	}
@@ -351,7 +356,7 @@
 
 // tendControls forgets workers that have gone elsewhere or fallen silent.
 func (c *Core) tendControls() {
-	for id, w := range c.own {
+	for id, w := range ordered(c.own) {
 		m := c.machines[id]
 		elsewhere := m != nil && m.Node != c.cfg.Node
 		if elsewhere || c.now.Steady-w.heard > seconds(c.cfg.Params.Workers.LeaseS) || c.marks[id].Gone {
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -194,7 +194,7 @@
 	w := gateway.Waiting{}
 	var jobs []*job.Job
 	for _, t := range c.teams {
-		for _, j := range t.jobs {
+		for _, j := range ordered(t.jobs) {
 			if !c.untouched(j) {
 				continue
 			}
@@ -219,7 +219,7 @@
 		}
 	}
 	g.inputs = append(g.inputs, w)
-	for _, k := range c.sites.Taken {
+	for _, k := range orderedBy(c.sites.Taken, gateway.CompareHolds) {
 		if k.Accepted && k.State == "" && !g.asking[k.Local] && (c.jobs[k.Local] == nil || c.jobs[k.Local].Cancelled) {
 			g.asking[k.Local] = true
 			c.inquire(k.Local, func(f finding, s protocol.JobState) {
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -16,7 +16,7 @@
 // another release, which the cloud answers for names that it does not know too.
 func (c *Core) forgetGone() {
 	txn := protocol.Txn{If: []protocol.Condition{c.fleet.held()}}
-	for id, k := range c.marks {
+	for id, k := range ordered(c.marks) {
 		if !k.Gone || c.bound(id) || c.now.Steady-k.since < keepGone*seconds(c.cfg.Params.Workers.LeaseS) {
 			continue
 		}
@@ -45,7 +45,7 @@
 		}
 	}
 	dark := c.darkZones()
-	for id, l := range c.rental.listed {
+	for id, l := range ordered(c.rental.listed) {
 		age := c.now.Steady - c.rental.came[id]
 		limit := c.givenUp(l.Type)
 		switch {
@@ -63,7 +63,7 @@
 	if !settled {
 		return
 	}
-	for id, m := range c.machines {
+	for id, m := range ordered(c.machines) {
 		switch quiet := c.now.Steady - m.Seen; {
 		case m.NoticeAt > 0 && c.now.Steady > m.NoticeAt+c.reportInterval()/4:
 			c.doom(id, "taken back")
@@ -161,7 +161,7 @@
 
 // tendIdle closes machines that have had nothing to do for a while.
 func (c *Core) tendIdle() {
-	for id, m := range c.machines {
+	for id, m := range ordered(c.machines) {
 		if !c.boundLoad(m).Fits(job.Resources{}) {
 			m.IdleSince = c.now.Steady
 		} else if c.now.Steady-m.IdleSince > c.idleTime(m) {
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -114,7 +114,7 @@
 func (c *Core) homeTaken(t *team) {
 	t.acting = true
 	c.log(Info, "home taken", "team", t.Name, "jobs", len(t.jobs))
-	for _, j := range t.jobs {
+	for _, j := range ordered(t.jobs) {
 		j.InFlight = false
 		j.DropClaims()
 		for _, b := range j.Bound {
--- a/internal/core/job/ledger.go
+++ b/internal/core/job/ledger.go
@@ -1,11 +1,18 @@
 package job
 
+import "cmp"
+
 // Ref names a task of a known job.
 type Ref struct {
 	Job   *Job
 	Index int
 }
 
+// CompareRefs orders tasks by job and index.
+func CompareRefs(a, b Ref) int {
+	return cmp.Or(cmp.Compare(a.Job.ID, b.Job.ID), cmp.Compare(a.Index, b.Index))
+}
+
 // Load is what is bound to one machine.
 type Load struct {
 	// Need is the sum of what the bound tasks take.
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -89,7 +89,7 @@
 func (c *Core) newBindings(j *job.Job, u *update, more bool) []*job.Binding {
 	var out []*job.Binding
 	machines := map[string]bool{}
-	for i, b := range j.Bound {
+	for i, b := range ordered(j.Bound) {
 		if b.Stored || more && j.DirtyAt(i) {
 			continue
 		}
@@ -234,7 +234,7 @@
 	}
 	j.Cancel()
 	j.CancelledAt = c.now.Steady
-	for i, b := range j.Bound {
+	for i, b := range ordered(j.Bound) {
 		if !b.Stored && !j.InFlight {
 			c.unbind(j, i)
 		}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -61,7 +61,7 @@
 func (c *Core) peerUp(node string) {
 	c.peers[node].connected = true
 	var all []Observation
-	for id, w := range c.own {
+	for id, w := range ordered(c.own) {
 		if m := c.machines[id]; m != nil && m.Node == c.cfg.Node {
 			all = append(all, Observation{Node: c.cfg.Node, Term: w.term, Report: m.Report})
 		}
@@ -175,7 +175,7 @@
 			}
 		}
 	}
-	for id := range c.own {
+	for id := range ordered(c.own) {
 		if m := c.machines[id]; m != nil && m.Node == c.cfg.Node && m.Seen > c.beatAt {
 			b.Heard = append(b.Heard, id)
 		}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -64,7 +64,7 @@
 // idle when they come.
 func (c *Core) yielding() []*placement.Host {
 	var out []*placement.Host
-	for id, m := range c.machines {
+	for id, m := range ordered(c.machines) {
 		on := c.ledger.On(id)
 		if on == nil || m.NoticeAt > 0 || !c.usable(m) {
 			continue
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -90,7 +90,7 @@
 // tendIntents repeats rentals without an answer under the same name, and drops
 // those whose machines have all shown up.
 func (c *Core) tendIntents() {
-	for name, i := range c.intents {
+	for name, i := range ordered(c.intents) {
 		switch {
 		case i.busy:
 		case i.Machines == nil:
@@ -153,12 +153,12 @@
 		size := capacity(t)
 		out = append(out, &placement.Host{ID: id, Type: typ, Zone: zone, Spot: spot, Room: size, Size: size, Lasts: -1})
 	}
-	for _, l := range c.rental.listed {
+	for _, l := range ordered(c.rental.listed) {
 		if l.State == protocol.Booting && c.now.Steady-c.rental.came[l.ID] < c.awaited(l.Type) {
 			add(l.ID, l.Type, l.Zone, l.Spot)
 		}
 	}
-	for name, i := range c.intents {
+	for name, i := range ordered(c.intents) {
 		if i.Machines == nil {
 			for n := range i.Rental.Count {
 				add(fmt.Sprintf("%s#%d", name, n), i.Rental.Type, i.Rental.Zone, i.Rental.Spot)
@@ -182,7 +182,7 @@
 
 // rentMore orders machines for the demand that the last round left over.
 func (c *Core) rentMore() {
-	for _, i := range c.intents {
+	for _, i := range ordered(c.intents) {
 		if i.Machines == nil {
 			return // the answer first
 		}
@@ -229,7 +229,7 @@
 
 // spotOpen tells whether the cloud may have any spot machine.
 func (c *Core) spotOpen() bool {
-	for name, t := range c.types {
+	for name, t := range ordered(c.types) {
 		for _, zone := range t.Zones {
 			if c.policy.Spot && c.now.Steady >= c.rental.blocked[offerKey{name, zone, true}].until {
 				return true
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -76,8 +76,8 @@
 
 func (c *Core) totalCapacity() fairness.Vector {
 	var sum job.Resources
-	for _, m := range c.machines {
-		sum = sum.Plus(capacity(c.types[m.Type]), 1)
+	for _, id := range c.ids {
+		sum = sum.Plus(capacity(c.types[c.machines[id].Type]), 1)
 	}
 	return vector(sum)
 }
@@ -451,7 +451,7 @@
 
 // deliverAll sends the starts and stops that this step has queued.
 func (c *Core) deliverAll() {
-	for id := range c.sched.deliver {
+	for id := range ordered(c.sched.deliver) {
 		if w := c.own[id]; w != nil {
 			c.deliver(id, w)
 		}
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -22,7 +22,7 @@
 			}
 		}
 	}
-	for i, b := range j.Bound {
+	for i, b := range ordered(j.Bound) {
 		if !b.Stored || b.Sent || b.Stopping {
 			continue
 		}
@@ -75,21 +75,33 @@
 			c.leftover(j, m, t)
 		}
 	}
-	c.eachMine(m.Machine, func(j *job.Job, i int, b *job.Binding) { c.settle(j, i, b, m) })
+	changed := func(ref job.Ref, b *job.Binding) bool {
+		verdict, t := m.Judge(ref.Job.TaskID(ref.Index), b)
+		if verdict == worker.Present {
+			b.State = t.State
+		}
+		return verdict != worker.Present
+	}
+	c.eachMine(m.Machine, changed, func(j *job.Job, i int, b *job.Binding) { c.settle(j, i, b, m) })
 }
 
-// eachMine visits the stored bindings on a machine whose jobs this node holds.
-// f may end them.
-func (c *Core) eachMine(machine string, f func(*job.Job, int, *job.Binding)) {
+// eachMine visits the stored bindings on a machine that concern f and whose jobs
+// this node holds, in order. f may end them.
+func (c *Core) eachMine(machine string, concerns func(job.Ref, *job.Binding) bool, f func(*job.Job, int, *job.Binding)) {
 	load := c.ledger.On(machine)
 	if load == nil {
 		return
 	}
+	var refs []job.Ref
 	for ref, b := range load.Tasks {
-		if b.Stored && c.mine(ref.Job) {
-			f(ref.Job, ref.Index, b)
+		if b.Stored && c.mine(ref.Job) && concerns(ref, b) {
+			refs = append(refs, ref)
 		}
 	}
+	slices.SortFunc(refs, job.CompareRefs)
+	for _, ref := range refs {
+		f(ref.Job, ref.Index, load.Tasks[ref])
+	}
 }
 
 // settle applies what the newest report proves about one binding.
@@ -195,7 +207,8 @@
 		return
 	}
 	c.removeMachine(machine)
-	c.eachMine(machine, func(j *job.Job, i int, _ *job.Binding) {
+	all := func(job.Ref, *job.Binding) bool { return true }
+	c.eachMine(machine, all, func(j *job.Job, i int, _ *job.Binding) {
 		c.log(Debug, "task is gone with its machine", "task", j.TaskID(i), "machine", machine)
 		c.unbind(j, i)
 	})
@@ -220,8 +233,8 @@
 		if !t.acting {
 			continue
 		}
-		for _, j := range t.jobs {
-			for i, b := range j.Bound {
+		for _, j := range ordered(t.jobs) {
+			for i, b := range ordered(j.Bound) {
 				if b.Stored {
 					c.tendBinding(j, i, b)
 				}
@@ -276,7 +289,7 @@
 // given back when half of the allowed time was not enough.
 func (c *Core) stopCancelled(j *job.Job) {
 	late := c.now.Steady-j.CancelledAt > seconds(c.cfg.Params.Workers.CancelS)/2
-	for i, b := range j.Bound {
+	for i, b := range ordered(j.Bound) {
 		if !b.Stored {
 			continue
 		}
@@ -315,7 +328,7 @@
 			whole = whole || c.leaving(j, b)
 		}
 	}
-	for i, b := range j.Bound {
+	for i, b := range ordered(j.Bound) {
 		if b.Sent && (whole || c.leaving(j, b) || c.hopeless(j, i, b)) {
 			c.stop(j, i, b, j.SaveS)
 		}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -67,6 +67,8 @@
 	// sent to other sites.
 	gateways map[string]*gateway.Config
 	sent     []gateway.Message
+	// tell, if set, is told of every effect.
+	tell func(node string, e Effect)
 }
 
 // fakeWorker follows the worker's side of the protocol.
@@ -200,6 +202,9 @@
 }
 
 func (w *world) carryOut(node string, e Effect) {
+	if w.tell != nil {
+		w.tell(node, e)
+	}
 	switch e := e.(type) {
 	case Answer:
 		w.answers[e.Req] = e
--- a/internal/gateway/index.go
+++ b/internal/gateway/index.go
@@ -115,6 +115,7 @@
 	return maps.Clone(m)
 }
 
-func compareHolds(a, b Hold) int {
+// CompareHolds orders epochs by origin and number.
+func CompareHolds(a, b Hold) int {
 	return cmp.Or(cmp.Compare(a.Origin, b.Origin), cmp.Compare(a.Epoch, b.Epoch))
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -109,7 +109,7 @@
 		a := r.Away[job]
 		out = append(out, HandOff{job, a.Ticket.Class, a.To, a.Epoch, a.Stage(), a.At})
 	}
-	for _, h := range slices.SortedFunc(maps.Keys(r.Taken), compareHolds) {
+	for _, h := range slices.SortedFunc(maps.Keys(r.Taken), CompareHolds) {
 		k := r.Taken[h]
 		out = append(out, HandOff{k.Local, "", h.Origin, h.Epoch, k.Stage(), k.At})
 	}
