--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -29,7 +29,7 @@
 			return err
 		}
 	}
-	for _, n := range []int{10, 100, 1000} {
+	for _, n := range []int{10, 100, 1000, 3000} {
 		if err := p.recovery(ctx, out, c, n); err != nil {
 			return err
 		}
@@ -65,7 +65,8 @@
 // last result takes once the link is back.
 func (p *Pair) recovery(ctx context.Context, out io.Writer, c *client.Client, n int) error {
 	start := time.Now()
-	runs := 3 + float64(n)/50 // none comes back before all are away
+	runs := 3 + float64(n)/100 // none comes back before all are away
+	before := p.Sites[1].Completed()
 	ids, err := p.submitAll(ctx, c, n, runs)
 	if err != nil {
 		return err
@@ -78,8 +79,11 @@
 	for _, l := range p.Links {
 		l.Set(Hang)
 	}
-	cut := seconds(runs) + 5*time.Second
-	sleep(ctx, cut)
+	cut := time.Now()
+	if err := p.until(ctx, func() bool { return p.Sites[1].Completed() >= before+away || time.Since(cut) > 2*caseTime }); err != nil {
+		return err
+	}
+	sleep(ctx, 5*time.Second)
 	for _, l := range p.Links {
 		l.Set(Pass)
 	}
@@ -89,7 +93,7 @@
 			return err
 		}
 	}
-	fmt.Fprintf(out, "%5d in flight behind a link cut for %.0f s: last result %.1f s after its return\n", away, cut.Seconds(), time.Since(back).Seconds())
+	fmt.Fprintf(out, "%5d in flight behind a link cut for %.0f s, all ended there: last result %.1f s after its return\n", away, back.Sub(cut).Seconds(), time.Since(back).Seconds())
 	return nil
 }
 
