--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pepperlever/internal/core"
+	"pepperlever/internal/gateway"
 	"pepperlever/internal/protocol"
 	"pepperlever/internal/settings"
 )
@@ -27,10 +28,16 @@
 	ctx.Request.Header.SetMethod(method)
 	ctx.Request.SetRequestURI(path)
 	ctx.Request.SetBodyString(body)
+	if gatewayOn {
+		a.WithGateway(func() int64 { return 3 })
+	}
 	a.handle(ctx)
 	return a, ctx
 }
 
+// gatewayOn switches the gateway on for the requests that follow.
+var gatewayOn bool
+
 // echo answers every command with 200, naming the request it was meant for.
 func echo(c core.Command) *core.Answer {
 	switch c := c.(type) {
@@ -46,10 +53,47 @@
 		return &core.Answer{Req: c.Req, Status: 200}
 	case core.Beat:
 		return &core.Answer{Req: c.Req, Status: 200, Body: c.Report.Machine}
+	case core.SiteAsk:
+		if c.Op == core.AskStatus {
+			return &core.Answer{Req: c.Req, Status: 200, Body: core.SiteStatus{Node: "a", Status: gateway.Status{Site: "near",
+				Peers: []gateway.PeerStatus{{Site: "far", Breaker: "open", Away: map[string]int{"offered": 2}, Retries: 7}}}}}
+		}
+		return &core.Answer{Req: c.Req, Status: 200, Body: string(c.Op) + " " + c.Name + " " + c.Why}
 	}
 	return nil
 }
 
+// Without a gateway's file there is nothing to ask; with one operators reach the core,
+// and the metrics tell how it stands.
+func TestOperatorsReachTheGateway(t *testing.T) {
+	defer func() { gatewayOn = false }()
+	for _, c := range []struct {
+		on                 bool
+		method, path, body string
+		status             int
+		want               string
+	}{
+		{false, "GET", "/gateway/status", "", 404, ""},
+		{false, "GET", "/metrics", "", 200, ""},
+		{true, "GET", "/gateway/status", "", 200, `"node":"a"`},
+		{true, "POST", "/gateway/status", "", 405, ""},
+		{true, "POST", "/gateway/give-up", `{"name":"req-1","why":"lost","o":"drain"}`, 200, "give-up req-1 lost"},
+		{true, "POST", "/gateway/give-up", `{`, 400, ""},
+		{true, "GET", "/gateway/give-up", "", 405, ""},
+		{true, "POST", "/gateway/other", "{}", 404, ""},
+		{true, "GET", "/metrics", "", 200, `pepperlever_gateway_breaker{peer="far",state="open"} 1`},
+		{true, "GET", "/metrics", "", 200, `pepperlever_gateway_handoffs{peer="far",side="away",stage="offered"} 2`},
+		{true, "GET", "/metrics", "", 200, "pepperlever_gateway_refused 3"},
+	} {
+		gatewayOn = c.on
+		_, ctx := serve(echo, c.method, c.path, c.body)
+		body := string(ctx.Response.Body())
+		if got := ctx.Response.StatusCode(); got != c.status || !strings.Contains(body, c.want) || !c.on && strings.Contains(body, "gateway_") {
+			t.Errorf("%s %s: got %d %s", c.method, c.path, got, body)
+		}
+	}
+}
+
 func TestRequestsReachTheCoreOrAreRefused(t *testing.T) {
 	for _, c := range []struct {
 		method, path, body string
--- a/internal/gateway/route_test.go
+++ b/internal/gateway/route_test.go
@@ -217,6 +217,9 @@
 }
 
 func TestGatewayFilesAreChecked(t *testing.T) {
+	if c, err := Load("../../deploy/gateway.toml"); err != nil || !c.Goes("nightly", time.Minute) {
+		t.Errorf("the file under deploy: %v", err)
+	}
 	const good = "site = \"a\"\n[[peers]]\nsite = \"b\"\naddresses = [\"127.0.0.1:1\"]\nat_once = 3\n"
 	for text, want := range map[string]string{
 		good: "",
--- a/internal/sitelink/link_test.go
+++ b/internal/sitelink/link_test.go
@@ -26,6 +26,7 @@
 	t.Helper()
 	c := gateway.Default()
 	c.Site, c.Peers = name, []gateway.Peer{{Site: peer}}
+	c.RetryS, c.RetryMaxS = 600, 600 // no test waits for a time-out
 	c.Authority, c.TicketKeys = filepath.Join(keys, authorityFile), filepath.Join(keys, ticketsFile)
 	c.Certificate, c.Key = filepath.Join(keys, string(name)+".pem"), filepath.Join(keys, string(name)+"-key.pem")
 	raw, err := toml.Marshal(c)
