--- a/cmd/pepperlever/lab.go
+++ b/cmd/pepperlever/lab.go
@@ -21,6 +21,7 @@
 	config, data, images, job, only string
 	print, two, cut, measure        bool
 	link                            time.Duration
+	inFlight                        []int
 }
 
 func labCommand() *cobra.Command {
@@ -41,6 +42,7 @@
 	fl.BoolVar(&f.cut, "cut-every-stage", false, "with two sites: cause every trouble at every message of a hand-off, count runs and answers, then stop")
 	fl.StringVar(&f.only, "only", "", "with --cut-every-stage: only troubles whose name holds this, such as killed or hanging")
 	fl.BoolVar(&f.measure, "measure", false, "with two sites: measure hand-offs a second, added latency and recovery, then stop")
+	fl.IntSliceVar(&f.inFlight, "in-flight", []int{10, 100, 1000}, "with --measure: how many jobs are behind a cut link")
 	fl.BoolVar(&f.print, "print-config", false, "print the site's file with all defaults, and stop")
 	return cmd
 }
@@ -104,7 +106,7 @@
 		case f.cut:
 			return pair.CutEveryStage(ctx, cmd.OutOrStdout(), f.only)
 		case f.measure:
-			return pair.Measure(ctx, cmd.OutOrStdout())
+			return pair.Measure(ctx, cmd.OutOrStdout(), f.inFlight)
 		}
 		fmt.Fprintf(cmd.OutOrStdout(), "sites are at %s and %s; hand a job in that goes over with: pepperlever submit --to %[1]s --team %[3]s --class %[4]s --estimate-s 5 --wait\n",
 			pair.Sites[0].Front(), pair.Sites[1].Front(), cfg.Teams[0].Name, lab.Goes)
