--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -76,6 +76,9 @@
 	}
 	away := p.Sites[0].State.count("j/ga/")
 	fmt.Fprintf(out, "%5d jobs handed in at once: %d away after %.1f s\n", n, away, time.Since(start).Seconds())
+	if err := p.until(ctx, func() bool { return p.Sites[1].State.count("j/gt/") >= away || time.Since(start).Seconds() > runs }); err != nil {
+		return err
+	}
 	for _, l := range p.Links {
 		l.Set(Hang)
 	}
