--- a/internal/core/sites.go
+++ b/internal/core/sites.go
@@ -21,13 +21,12 @@
 	keyDrained = keyGate + "d/" // j/gd/<site>: no new hand-offs with it
 )
 
-func awayKey(id string) string          { return keyAway + id }
-func takenKey(h gateway.Hold) string    { return keyTaken + string(h.Origin) + "/" + epochText(h.Epoch) }
-func floorKey(s gateway.Site) string    { return keyFloor + string(s) }
-func lastKey(s gateway.Site) string     { return keyLast + string(s) }
-func drainedKey(s gateway.Site) string  { return keyDrained + string(s) }
-func epochText(e gateway.Epoch) string  { return strconv.FormatUint(uint64(e), 10) }
-func epochValue(e gateway.Epoch) []byte { return raw(e) }
+func awayKey(id string) string         { return keyAway + id }
+func takenKey(h gateway.Hold) string   { return keyTaken + string(h.Origin) + "/" + epochText(h.Epoch) }
+func floorKey(s gateway.Site) string   { return keyFloor + string(s) }
+func lastKey(s gateway.Site) string    { return keyLast + string(s) }
+func drainedKey(s gateway.Site) string { return keyDrained + string(s) }
+func epochText(e gateway.Epoch) string { return strconv.FormatUint(uint64(e), 10) }
 
 // siteRecords mirror the hand-offs on every controller, with a gateway or without:
 // what is away is bound nowhere here.
--- a/internal/gateway/meet.go
+++ b/internal/gateway/meet.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // Two sites compare their records before anything else passes between them, each
 // time that a site's gateway starts. A state service that was restored from an old
@@ -90,7 +87,7 @@
 		m.emit(Answer{Req: in.Req, Err: "who renews, and why, must be said"})
 	default:
 		m.log("hand-offs go on after a stop", "peer", in.Site, "lost", len(p.lost), "operator", in.Operator, "why", in.Why)
-		m.store("last/"+string(in.Site), SetLast{Site: in.Site, Last: cmp.Or(max(p.ahead, m.records.Last[in.Site]), 0)}, in.Req)
+		m.store("last/"+string(in.Site), SetLast{Site: in.Site, Last: max(p.ahead, m.records.Last[in.Site])}, in.Req)
 	}
 }
 
