--- a/cmd/pepperlever/jobs.go
+++ b/cmd/pepperlever/jobs.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -112,23 +113,22 @@
 	})
 }
 
+// told prints the state that a call gives.
+func told(call func(*client.Client, context.Context, string) (client.State, error)) func(*jobFlags, *cobra.Command, *client.Client, string) error {
+	return func(f *jobFlags, cmd *cobra.Command, c *client.Client, id string) error {
+		s, err := call(c, cmd.Context(), id)
+		if err != nil {
+			return err
+		}
+		return f.show(cmd.OutOrStdout(), s)
+	}
+}
+
 func jobCommands() []*cobra.Command {
 	return []*cobra.Command{
 		submitCommand(),
-		onJob("status", "Tell the state of a job", func(f *jobFlags, cmd *cobra.Command, c *client.Client, id string) error {
-			s, err := c.Status(cmd.Context(), id)
-			if err != nil {
-				return err
-			}
-			return f.show(cmd.OutOrStdout(), s)
-		}),
-		onJob("cancel", "Withdraw a job", func(f *jobFlags, cmd *cobra.Command, c *client.Client, id string) error {
-			s, err := c.Cancel(cmd.Context(), id)
-			if err != nil {
-				return err
-			}
-			return f.show(cmd.OutOrStdout(), s)
-		}),
+		onJob("status", "Tell the state of a job", told((*client.Client).Status)),
+		onJob("cancel", "Withdraw a job", told((*client.Client).Cancel)),
 		onJob("wait", "Follow a job to its end", (*jobFlags).follow),
 		listCommand(),
 	}
--- a/internal/client/retry/retry.go
+++ b/internal/client/retry/retry.go
@@ -44,8 +44,7 @@
 	GiveUp
 )
 
-// Next decides after a try that began at began and ended at now; started is when
-// the first one began.
+// Next decides after a try that ended at now; started is when the first one began.
 func (r Rules) Next(started, now time.Duration, o Outcome) (Verdict, time.Duration) {
 	switch o.Status {
 	case http.StatusOK, http.StatusCreated, http.StatusBadRequest, http.StatusNotFound, http.StatusUnprocessableEntity:
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -143,18 +143,13 @@
 		}
 		in.Unfit = c.unfit(m.Ticket)
 	}
-	if job, ok := c.awayUnder(m); ok && m.Kind == gateway.Decided && m.Accepted {
+	if job, ok := g.machine.Job(m.From, m.Epoch); ok && m.Kind == gateway.Decided && m.Accepted {
 		c.progressed(job, Progress{m.Done, m.Running})
 		c.broadcast(PeerMsg{Site: &SiteNote{Progress: map[string]Progress{job: c.sites.progress[job]}}})
 	}
 	g.inputs = append(g.inputs, in)
 }
 
-// awayUnder finds the job that a message is about.
-func (c *Core) awayUnder(m gateway.Message) (string, bool) {
-	return c.gate.machine.Job(m.From, m.Epoch)
-}
-
 // progressed notes how a job that is away gets on. What was done stays done.
 func (c *Core) progressed(id string, p Progress) {
 	if _, away := c.sites.Away[id]; away {
--- a/internal/core/gatestore.go
+++ b/internal/core/gatestore.go
@@ -124,25 +124,33 @@
 	}, true
 }
 
+// awayUnder tells whether the mirror shows a job to be away under an epoch.
+func (c *Core) awayUnder(id string, e gateway.Epoch) bool {
+	a, there := c.sites.Away[id]
+	return there && a.Epoch == e
+}
+
 // changeAway changes the record of a job that is away under an epoch.
 func (c *Core) changeAway(id string, e gateway.Epoch, change func(*gateway.Away)) (protocol.Txn, bool) {
-	a, there := c.sites.Away[id]
+	a := c.sites.Away[id]
 	change(&a)
-	return protocol.Txn{If: c.asMirrored(awayKey(id)), Then: []protocol.Change{put(awayKey(id), a)}}, there && a.Epoch == e
+	return protocol.Txn{If: c.asMirrored(awayKey(id)), Then: []protocol.Change{put(awayKey(id), a)}}, c.awayUnder(id, e)
 }
 
 // takeBack brings the right home, or ends the job if its user wanted that.
 func (c *Core) takeBack(w gateway.TakeBack) (protocol.Txn, bool) {
-	a, there := c.sites.Away[w.Job]
+	held := c.awayUnder(w.Job, w.Epoch)
 	if w.Cancelled {
-		return c.endAway(w.Job, protocol.Cancelled), there && a.Epoch == w.Epoch
+		return c.endAway(w.Job, protocol.Cancelled), held
 	}
-	return protocol.Txn{If: c.asMirrored(awayKey(w.Job)), Then: []protocol.Change{{Delete: awayKey(w.Job)}}}, there && a.Epoch == w.Epoch
+	return protocol.Txn{If: c.asMirrored(awayKey(w.Job)), Then: []protocol.Change{{Delete: awayKey(w.Job)}}}, held
 }
 
 func (c *Core) finishAway(w gateway.Finish) (protocol.Txn, bool) {
-	a, there := c.sites.Away[w.Job]
-	return c.endAway(w.Job, w.State), there && a.Epoch == w.Epoch && c.jobs[w.Job] != nil
+	if c.jobs[w.Job] == nil {
+		return protocol.Txn{}, false
+	}
+	return c.endAway(w.Job, w.State), c.awayUnder(w.Job, w.Epoch)
 }
 
 // endAway stores the final state of a job that is away. A cancelled one's head is
--- a/internal/core/job/spec.go
+++ b/internal/core/job/spec.go
@@ -27,6 +27,9 @@
 	Service
 )
 
+// kinds are the names of kinds on the wire.
+var kinds = []string{protocol.KindArray, protocol.KindGang, protocol.KindService}
+
 // Resources is what a task takes of its machine, or what a machine has.
 type Resources struct {
 	CPUs     float64 `json:"c"`
@@ -167,7 +170,7 @@
 		ID:       p.text("job id", in.ID),
 		Team:     p.text("team", in.Team),
 		Class:    p.text("class", in.Class),
-		Kind:     Kind(p.choice("kind", in.Kind, []string{protocol.KindArray, protocol.KindGang, protocol.KindService})),
+		Kind:     Kind(p.choice("kind", in.Kind, kinds)),
 		Priority: p.choice("priority", in.Priority, protocol.Priorities),
 		Need: Resources{
 			CPUs: p.number("cpus", in.CPUs), GPUs: p.number("gpus", in.GPUs), MemoryGB: p.number("memory", in.MemoryGB),
@@ -220,9 +223,8 @@
 
 // Submission is the description as a user would give it; Parse gives it back.
 func (s *Spec) Submission() protocol.Submission {
-	kind := []string{protocol.KindArray, protocol.KindGang, protocol.KindService}[s.Kind]
 	tasks := int64(s.Tasks)
-	out := protocol.Submission{ID: &s.ID, Class: &s.Class, Team: &s.Team, Kind: &kind, Priority: &protocol.Priorities[s.Priority],
+	out := protocol.Submission{ID: &s.ID, Class: &s.Class, Team: &s.Team, Kind: &kinds[s.Kind], Priority: &protocol.Priorities[s.Priority],
 		Tasks: &tasks, CPUs: &s.Need.CPUs, GPUs: &s.Need.GPUs, MemoryGB: &s.Need.MemoryGB, Image: &s.Image, ImageGB: &s.ImageGB,
 		OneZone: &s.OneZone, Spread: &s.Spread, Spot: &s.Spot,
 		EstimateS: &s.EstimateS, CheckpointS: &s.CheckpointS, SaveS: &s.SaveS}
