Stop cancelled tasks where their machine is heard, not only at their team's home

The home alone stopped it, by an order to the controller that hears the machine, and had the machine given back by a word to the renter; both travel by peer links alone, although that controller follows the same keys.

Now every controller stops the cancelled jobs' tasks on the machines that it hears, refuses their starts, and answers for giving a machine back where its task does not end. The renter is told by a mark in the store where it can't be heard. The cancellation's key carries the time of day, so that controllers that start over in the middle of the allowed time do not count it anew.

Ruled out: giving machines back by the home alone through the store, since without links it does not see that the tasks have ended, and would lose the other work on them.

--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -253,12 +253,20 @@
 		return "session has passed"
 	case w.mute:
 		return "worker does not answer"
+	case c.startsCancelled(s):
+		return "job is cancelled"
 	case !c.fitsNow(s, w):
 		return "no room"
 	}
 	return ""
 }
 
+// startsCancelled tells whether a start is of a cancelled job.
+func (c *Core) startsCancelled(s Start) bool {
+	id, _, _ := job.SplitTask(s.Task)
+	return c.cancelled(id)
+}
+
 // fitsNow checks the room on the machine as its newest report and the starts
 // on their way show it.
 func (c *Core) fitsNow(s Start, w *control) bool {
--- a/internal/core/gatestore.go
+++ b/internal/core/gatestore.go
@@ -158,7 +158,7 @@
 func (c *Core) endAway(id, state string) protocol.Txn {
 	txn := protocol.Txn{If: append(c.asMirrored(awayKey(id)), protocol.Condition{Key: keyState + id})}
 	if state == protocol.Cancelled {
-		txn.Then = []protocol.Change{put(keyState+id, stateKey{State: state}), put(cancelKey(id), struct{}{})}
+		txn.Then = []protocol.Change{put(keyState+id, stateKey{State: state}), put(cancelKey(id), cancelMark{At: c.now.Wall})}
 	} else {
 		txn.Then = []protocol.Change{put(keyState+id, stateKey{State: state, Tasks: c.jobs[id].Tasks}), {Delete: activeKey(id)}}
 	}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -227,24 +227,6 @@
 	c.homeLost(u.team)
 }
 
-// markCancelled stops a job. Its bindings still end only on proof.
-func (c *Core) markCancelled(j *job.Job) {
-	if j == nil || j.Cancelled {
-		return
-	}
-	j.Cancel()
-	j.CancelledAt = c.now.Steady
-	for i, b := range ordered(j.Bound) {
-		if !b.Stored && !j.InFlight {
-			c.unbind(j, i)
-		}
-	}
-	if c.mine(j) {
-		c.stopCancelled(j)
-	}
-	c.sched.dirty = true
-}
-
 // unbind ends a binding, on proof that the task is gone or was never sent.
 func (c *Core) unbind(j *job.Job, i int) {
 	j.Unbind(i)
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -85,9 +85,7 @@
 	case strings.HasPrefix(key, keyActive):
 		err = c.jobWritten(item)
 	case strings.HasPrefix(key, keyCancel):
-		id := strings.TrimPrefix(key, keyCancel)
-		c.remember(id, protocol.JobState{ID: id, State: protocol.Cancelled})
-		c.markCancelled(c.jobs[id])
+		err = c.cancelWritten(strings.TrimPrefix(key, keyCancel), item.Value)
 	case key == keyFleet, key == keyGate, strings.HasPrefix(key, keyHome):
 		err = c.homeWritten(item)
 	case strings.HasPrefix(key, keyGate):
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -68,6 +68,10 @@
 			continue
 		}
 		c.noteImage(m, j, t)
+		if j.Cancelled && t.State != protocol.Exited && m.Node == c.cfg.Node {
+			c.dismiss(m, t)
+			continue
+		}
 		if !c.mine(j) {
 			continue
 		}
@@ -231,6 +235,7 @@
 func (c *Core) settleAll() {
 	for _, t := range c.teams {
 		if !t.acting {
+			c.stopForOthers(t)
 			continue
 		}
 		for _, j := range ordered(t.jobs) {
@@ -285,21 +290,6 @@
 	return 2*c.reportInterval() + time.Duration(1+missing)*(protocol.ReportTimeout+protocol.ReportPause)
 }
 
-// stopCancelled halts what is left of a cancelled job, and has the machine
-// given back when half of the allowed time was not enough.
-func (c *Core) stopCancelled(j *job.Job) {
-	late := c.now.Steady-j.CancelledAt > seconds(c.cfg.Params.Workers.CancelS)/2
-	for i, b := range ordered(j.Bound) {
-		if !b.Stored {
-			continue
-		}
-		c.stop(j, i, b, 0)
-		if late {
-			c.condemn(b.Machine, "cancelled task does not end")
-		}
-	}
-}
-
 // stop asks for a task to end, with grace to save, and repeats it until a
 // report shows the end.
 func (c *Core) stop(j *job.Job, i int, b *job.Binding, grace float64) {
@@ -355,17 +345,6 @@
 		m.NoticeAt-c.now.Steady < seconds(j.SaveS)+2*c.reportInterval()
 }
 
-// condemn asks the renter to give a machine back with all that is on it.
-func (c *Core) condemn(machine, why string) {
-	if at, ok := c.sched.condemned[machine]; ok && c.now.Steady-at < c.reportInterval() {
-		return
-	}
-	c.sched.condemned[machine] = c.now.Steady
-	if c.fleet.home != "" {
-		c.tell(c.fleet.home, PeerMsg{Condemn: &Condemn{Machine: machine, Why: why}})
-	}
-}
-
 // noteImage remembers that a machine has an image.
 func (c *Core) noteImage(m *worker.Machine, j *job.Job, t protocol.TaskReport) {
 	m.UseImage(j.Image, j.ImageGB, c.types[m.Type].CacheGB, c.now.Steady)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -262,7 +262,7 @@
 	state := keyState + m.ID
 	c.userTxn(protocol.Txn{
 		If:   append([]protocol.Condition{{Key: state}}, c.atHome(m.ID)...),
-		Then: []protocol.Change{put(state, stateKey{State: protocol.Cancelled}), put(cancelKey(m.ID), struct{}{})},
+		Then: []protocol.Change{put(state, stateKey{State: protocol.Cancelled}), put(cancelKey(m.ID), cancelMark{At: c.now.Wall})},
 	}, func(r StoreReply) {
 		switch r.Outcome {
 		case Applied:
