Ask the renter about machines that have been silent for long, known or not

Found by a property test with five controllers: a renter that gave a machine back and ended before it had stored so left its tasks bound for ever. The next renter never heard of the machine; the home had its last report, and only asks about machines of which it has none. A home now asks about a machine that has said nothing for twice the usual silence too, while it hears every live controller; the renter goes on judging the machines that it knows itself.

--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -260,10 +260,10 @@
 		return
 	}
 	m := c.machines[b.Machine]
+	if c.unheardOf(m, b) {
+		c.condemn(b.Machine, unheard)
+	}
 	if m == nil {
-		if c.now.Steady-b.Since > c.silence() {
-			c.condemn(b.Machine, unheard)
-		}
 		return
 	}
 	c.settle(j, i, b, m)
@@ -282,6 +282,17 @@
 	}
 }
 
+// unheardOf tells whether nothing has been heard of a binding's machine for so
+// long that the renter has to be asked: a renter that came after its last report
+// does not know it. One that was given back by a renter which ended before it
+// could say so kept its tasks bound for ever.
+func (c *Core) unheardOf(m *worker.Machine, b *job.Binding) bool {
+	if m == nil {
+		return c.now.Steady-b.Since > c.silence()
+	}
+	return c.now.Steady-max(m.Seen, b.Since) > 2*c.silence() && c.everyoneHeard()
+}
+
 // silence is how long a machine may say nothing before it is given up: a
 // report may be late or lost, and a worker needs a time-out and a pause for
 // each node that it tries in vain.
