--- /dev/null
+++ b/internal/core/apart_test.go
@@ -0,0 +1,215 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pepperlever/internal/protocol"
+)
+
+// five are enough controllers for links to be cut in many ways.
+var five = []string{"a", "b", "c", "d", "e"}
+
+// apartWorld has five controllers, that many machines, and an array of long tasks
+// that fills them.
+func apartWorld(t *testing.T, machines int, id string) (w *world, home string) {
+	t.Helper()
+	w = newWorldOf(t, five)
+	w.racing, w.most, w.taskTime = true, machines, 10*time.Minute
+	for i := range machines {
+		w.addWorker(fmt.Sprintf("z%d", 1+i%2), false)
+	}
+	w.ready()
+	accepted(t, w.submit("a", id, 2*machines, ""))
+	w.started(id, machines)
+	return w, w.cores["a"].teamBy["free"].home
+}
+
+// informed names a controller that has the state service.
+func (w *world) informed() string {
+	for _, n := range w.names {
+		if w.cores[n] != nil && !w.cut[n] && !w.frozen[n] && w.cores[n].storeOK {
+			return n
+		}
+	}
+	w.t.Fatal("no controller has the state service")
+	return ""
+}
+
+func everyLink(string, string) bool { return true }
+
+// A home used to be the only one to stop a cancelled task, over links alone: with
+// connections refused for longer than a cancellation may take the task ran on
+// (docs/incidents/apart.md).
+func TestCancelledTasksAreGoneInTimeWhateverIsCut(t *testing.T) {
+	const allowed = 30 * time.Second
+	cuts := map[string]func(w *world, home string){
+		"nothing":               func(*world, string) {},
+		"all links":             func(w *world, _ string) { w.refuse(everyLink) },
+		"all links of the home": func(w *world, home string) { w.refuse(func(f, t string) bool { return f == home || t == home }) },
+		"links from the home":   func(w *world, home string) { w.refuse(func(f, _ string) bool { return f == home }) },
+		"links to the home":     func(w *world, home string) { w.refuse(func(_, t string) bool { return t == home }) },
+		"links to the renter": func(w *world, _ string) {
+			r := w.cores["a"].fleet.home
+			w.refuse(func(_, t string) bool { return t == r })
+		},
+		"every second link":          func(w *world, _ string) { w.refuse(func(f, t string) bool { return (f[0]+t[0])%2 == 1 }) },
+		"all links, home's store":    func(w *world, home string) { w.refuse(everyLink); w.noStore(home) },
+		"all links, another's store": func(w *world, home string) { w.refuse(everyLink); w.noStore(w.notHome(home)) },
+		"all links, store of three": func(w *world, home string) {
+			w.refuse(everyLink)
+			for _, n := range []string{"a", "c", "e"} {
+				w.noStore(n)
+			}
+		},
+		"all links, home crashes": func(w *world, home string) { w.refuse(everyLink); w.crash(home); w.expire(home) },
+		"all links, one freezes":  func(w *world, home string) { w.refuse(everyLink); w.freeze(w.notHome(home)) },
+		"all links, home freezes": func(w *world, home string) { w.refuse(everyLink); w.freeze(home) },
+	}
+	for name, cut := range cuts {
+		for _, part := range []float64{0.5, 1, 2} {
+			t.Run(fmt.Sprint(name, " for ", part), func(t *testing.T) {
+				t.Parallel()
+				machines := 20
+				if name == "all links" {
+					machines = 200
+				}
+				w, home := apartWorld(t, machines, "req-free-1")
+				cut(w, home)
+				w.run(2*time.Second, nil)
+				if a := w.cancelJob(w.informed(), "req-free-1"); a.Status != 200 {
+					t.Fatalf("cancellation got %d", a.Status)
+				}
+				w.run(time.Duration(part*float64(allowed)), nil)
+				w.heal()
+				w.run(2*allowed, nil)
+				if len(w.told) > 0 {
+					t.Error("the day ended before the time allowed")
+				}
+			})
+		}
+	}
+}
+
+func (w *world) notHome(home string) string {
+	return w.names[(slices.Index(w.names, home)+1)%len(w.names)]
+}
+
+// freeze lets a controller stand still, whose lease then ends.
+func (w *world) freeze(node string) {
+	w.frozen[node] = true
+	w.expire(node)
+}
+
+// heal ends all troubles.
+func (w *world) heal() {
+	w.restore()
+	for _, n := range w.names {
+		if w.cores[n] == nil {
+			w.boot(n)
+		} else if w.cut[n] || w.frozen[n] {
+			delete(w.frozen, n)
+			w.withStore(n)
+		}
+	}
+}
+
+// Cancellations at any moment, with links, homes, state service and workers'
+// networks failing in any order for as long as a cancellation may take, at several
+// times as many machines.
+func TestRulesHoldThroughDaysOfCutLinks(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorldOf(t, five)
+			w.rng = rand.New(rand.NewPCG(seed, 23))
+			w.racing, w.most = true, 60
+			for i := range 60 {
+				w.addWorker(fmt.Sprintf("z%d", 1+i%2), false)
+			}
+			w.ready()
+			var open []string
+			for n := range 14 {
+				w.taskTime = []time.Duration{8 * time.Second, 90 * time.Second}[w.rng.IntN(2)]
+				for _, team := range []string{"red", "blue", "free"} {
+					id := fmt.Sprintf("req-%s-%d", team, n)
+					if w.submit(w.informed(), id, 4+w.rng.IntN(6), "").Status == 201 {
+						open = append(open, id)
+					}
+				}
+				w.disturb()
+				w.run(time.Duration(w.rng.IntN(9))*time.Second, nil)
+				if i := w.rng.IntN(len(open)); w.rng.IntN(2) == 0 {
+					w.cancelJob(w.informed(), open[i])
+					open = slices.Delete(open, i, i+1)
+				}
+				w.disturb()
+			}
+			w.heal()
+			clear(w.unreached)
+			w.run(time.Minute, nil)
+			for _, id := range open {
+				if s, ok := w.state(id); ok && s.State != "done" {
+					t.Errorf("%s is %s", id, s.State)
+				}
+			}
+			if !w.run(20*time.Minute, w.finished(open...)) {
+				t.Errorf("jobs do not end once all troubles have")
+			}
+		})
+	}
+}
+
+// disturb causes one trouble, or ends all.
+func (w *world) disturb() {
+	node := w.names[w.rng.IntN(len(w.names))]
+	other := w.names[w.rng.IntN(len(w.names))]
+	sound := 0
+	for _, n := range w.names {
+		if w.cores[n] != nil && !w.cut[n] && !w.frozen[n] {
+			sound++
+		}
+	}
+	hurt := sound > 2 && w.cores[node] != nil && !w.cut[node] && !w.frozen[node]
+	switch what := w.rng.IntN(8); {
+	case what == 0:
+		w.refuse(everyLink)
+	case what == 1:
+		w.refuse(func(f, t string) bool { return f == node && t == other })
+	case what == 2:
+		w.refuse(func(f, t string) bool { return f == node || t == node })
+	case what == 3 && hurt:
+		w.noStore(node)
+	case what == 4 && hurt:
+		w.freeze(node)
+	case what == 5 && hurt:
+		w.crash(node)
+		w.expire(node)
+	case what == 6:
+		w.heal()
+	case what == 7:
+		w.unreached[fmt.Sprintf("vm-%06d", 1+w.rng.IntN(60))] = true
+	}
+}
+
+// A machine that reaches no controller ends its tasks with its lease, and the
+// session after it has none of them.
+func TestMachineThatHearsNobodyIsCoveredByItsLease(t *testing.T) {
+	w, _ := apartWorld(t, 20, "req-free-1")
+	var id string
+	for m, f := range w.workers {
+		if len(f.Tasks) > 0 && (id == "" || m < id) {
+			id = m
+		}
+	}
+	w.unreached[id] = true
+	w.cancelJob("a", "req-free-1")
+	w.run(17*time.Second, nil)
+	if f := w.workers[id]; f != nil && slices.ContainsFunc(f.Tasks, func(t0 protocol.TaskReport) bool { return strings.HasPrefix(t0.Task, "req-free-1/") }) {
+		t.Errorf("%d tasks after the lease", len(f.Tasks))
+	}
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -410,7 +410,7 @@
 	}
 	w.now += 5 * time.Minute // the machines are old by the cloud's list
 	for _, f := range w.workers {
-		f.next = w.now + 5*time.Second
+		f.next, f.leased = w.now+5*time.Second, w.now
 		for k := range f.running {
 			f.running[k] = w.now + 10*time.Second
 		}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -69,28 +69,46 @@
 	sent     []gateway.Message
 	// tell, if set, is told of every effect.
 	tell func(node string, e Effect)
-}
+	// names are the controllers; most is how many machines the cloud has.
+	names []string
+	most  int
+	// taskTime is how long a task runs.
+	taskTime time.Duration
+	// refused holds the links between controllers over which nothing passes, frozen
+	// the controllers that stand still, unreached the workers without a network.
+	refused   map[link]bool
+	frozen    map[string]bool
+	unreached map[string]bool
+	// told is when the user of a job was told that it is cancelled.
+	told map[string]time.Duration
+}
+
+// link is one direction between two controllers.
+type link struct{ from, to string }
 
 // fakeWorker follows the worker's side of the protocol.
 type fakeWorker struct {
 	protocol.Report
 	node    int
 	next    time.Duration
+	leased  time.Duration                 // when the last answered report was sent
 	running map[taskAttempt]time.Duration // when it ends
 	dead    bool
 }
 
 var nodeNames = []string{"a", "b", "c"}
 
-func testSettings(node string) *settings.Settings {
+func testSettings(node string) *settings.Settings { return settingsAmong(node, nodeNames) }
+
+func settingsAmong(node string, names []string) *settings.Settings {
 	s := &settings.Settings{Node: node}
-	for _, n := range nodeNames {
+	for _, n := range names {
 		if n != node {
 			s.Peers = append(s.Peers, settings.Peer{Node: n})
 		}
 	}
 	p := &s.Params
-	p.Nodes = 3
+	p.Nodes = len(names)
 	p.Zones = []string{"z1", "z2"}
 	p.Teams = []settings.Team{{Name: "red", CPUs: 8, CPUsMax: 16}, {Name: "blue", CPUs: 8}, {Name: "free"}}
 	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.CancelS = 2, 16, 30
@@ -100,14 +118,17 @@
 	return s
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newWorldOf(t, nodeNames) }
+
+func newWorldOf(t *testing.T, names []string) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(1, 2)), tick: 100 * time.Millisecond,
 		cores: map[string]*Core{}, inbox: map[string][]Command{}, cut: map[string]bool{},
 		kv: map[string]protocol.KeyValue{}, seen: map[string]uint64{}, leases: map[uint64]string{},
 		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{}, broken: map[string]bool{}, faulty: map[string]bool{},
 		deaf: map[string]bool{}, redirected: map[string]int{},
-		cfg: map[string]*settings.Settings{}}
-	for _, n := range nodeNames {
+		cfg: map[string]*settings.Settings{}, names: names, most: 40, taskTime: 5 * time.Second,
+		refused: map[link]bool{}, frozen: map[string]bool{}, unreached: map[string]bool{}, told: map[string]time.Duration{}}
+	for _, n := range names {
 		w.boot(n)
 	}
 	return w
@@ -115,7 +136,7 @@
 
 // boot starts a controller, or starts it again.
 func (w *world) boot(node string) {
-	w.cfg[node] = testSettings(node)
+	w.cfg[node] = settingsAmong(node, w.names)
 	w.nextReq++
 	w.cores[node] = New(w.cfg[node], settings.DefaultPolicy(), fmt.Sprint(node, w.nextReq))
 	if g := w.gateways[node]; g != nil {
@@ -126,18 +147,64 @@
 	lease := w.nextReq
 	w.leases[lease] = node
 	w.send(node, LeaseUp{Lease: lease})
-	for _, other := range nodeNames {
+	for _, other := range w.names {
 		if w.cores[other] != nil && other != node {
-			w.send(node, PeerUp{Node: other})
-			w.send(other, PeerUp{Node: node})
+			w.connect(node, other)
+			w.connect(other, node)
+		}
+	}
+}
+
+// connect tells a controller that it can send to another, unless it can't.
+func (w *world) connect(from, to string) {
+	if !w.refused[link{from, to}] {
+		w.send(from, PeerUp{Node: to})
+	}
+}
+
+// refuse cuts the links for which is holds, one direction at a time; restore mends
+// all.
+func (w *world) refuse(is func(from, to string) bool) {
+	for _, from := range w.names {
+		for _, to := range w.names {
+			if from != to && is(from, to) && !w.refused[link{from, to}] {
+				w.refused[link{from, to}] = true
+				w.send(from, PeerDown{Node: to})
+			}
+		}
+	}
+}
+
+func (w *world) restore() {
+	for _, from := range w.names {
+		for _, to := range w.names {
+			if w.refused[link{from, to}] {
+				delete(w.refused, link{from, to})
+				w.connect(from, to)
+			}
 		}
 	}
 }
 
+// noStore takes the state service from a controller, whose lease then ends;
+// withStore gives it back.
+func (w *world) noStore(node string) {
+	w.cut[node] = true
+	w.expire(node)
+}
+
+func (w *world) withStore(node string) {
+	delete(w.cut, node)
+	w.send(node, LeaseDown{})
+	w.nextReq++
+	w.leases[w.nextReq] = node
+	w.send(node, LeaseUp{Lease: w.nextReq})
+}
+
 // crash ends a controller; expire ends its lease.
 func (w *world) crash(node string) {
 	delete(w.cores, node)
-	for _, other := range nodeNames {
+	for _, other := range w.names {
 		if w.cores[other] != nil {
 			w.send(other, PeerDown{Node: node})
 		}
@@ -178,16 +245,17 @@
 			return true
 		}
 		w.tendWorkers()
-		for _, node := range nodeNames {
+		for _, node := range w.names {
 			w.step(node)
 		}
+		w.checkCancelled()
 	}
 	return done != nil && done()
 }
 
 func (w *world) step(node string) {
 	c := w.cores[node]
-	if c == nil {
+	if c == nil || w.frozen[node] {
 		return
 	}
 	if !w.outage && !w.cut[node] && w.seen[node] < uint64(len(w.events)) {
@@ -216,7 +284,7 @@
 		w.load(node)
 	case SendPeer:
 		for _, to := range e.Nodes {
-			if w.cores[to] != nil {
+			if w.cores[to] != nil && !w.refused[link{node, to}] {
 				w.send(to, PeerIn{Node: node, Msg: e.Msg})
 			}
 		}
@@ -236,7 +304,7 @@
 	case FetchList:
 		w.list(node)
 	case Rent:
-		if len(w.workers) >= 40 {
+		if len(w.workers) >= w.most {
 			w.send(node, Rented{Rental: e.Rental, Outcome: Refused})
 			return
 		}
@@ -344,7 +412,7 @@
 	w.rented++
 	id := fmt.Sprintf("vm-%06d", w.rented)
 	w.workers[id] = &fakeWorker{running: map[taskAttempt]time.Duration{}, node: w.rented,
-		next:   w.now + 3*time.Second,
+		next: w.now + 3*time.Second, leased: w.now + 3*time.Second,
 		Report: protocol.Report{Machine: id, Address: id, Type: "small", Zone: zone, Spot: spot, Session: 1}}
 	return id
 }
@@ -367,6 +435,10 @@
 				changed = true
 			}
 		}
+		if w.now-f.leased > seconds(w.cfg[w.names[0]].Params.Workers.LeaseS) {
+			f.Session, f.Tasks, f.leased = f.Session+1, nil, w.now
+			clear(f.running)
+		}
 		if w.now >= f.next || changed {
 			w.report(f)
 		}
@@ -376,9 +448,9 @@
 // report sends a report to the worker's node and takes the answer at once.
 func (w *world) report(f *fakeWorker) {
 	f.next = w.now + 2*time.Second
-	node := nodeNames[f.node%len(nodeNames)]
+	node := w.names[f.node%len(w.names)]
 	c := w.cores[node]
-	if c == nil || w.deaf[node] {
+	if c == nil || w.deaf[node] || w.frozen[node] || w.unreached[f.Machine] {
 		f.node++
 		return
 	}
@@ -393,7 +465,7 @@
 	delete(w.answers, req)
 	if to, ok := a.Body.(protocol.Redirect); ok {
 		w.redirected[to.ReportTo]++
-		f.node = slices.Index(nodeNames, to.ReportTo)
+		f.node = slices.Index(w.names, to.ReportTo)
 		f.next = w.now + 500*time.Millisecond
 		return
 	}
@@ -403,7 +475,7 @@
 		return
 	}
 	if orders.Token >= f.Token {
-		f.Token = orders.Token
+		f.Token, f.leased = orders.Token, w.now
 		w.execute(f, orders.Commands)
 	}
 }
@@ -418,7 +490,7 @@
 func (w *world) deliver(node string, d Deliver) {
 	f := w.workers[d.Machine]
 	out := Delivered{Machine: d.Machine, Orders: d.Orders}
-	if f != nil && !f.dead {
+	if f != nil && !f.dead && !w.unreached[f.Machine] {
 		f.Seq++
 		if d.Orders.Token >= f.Token && d.Orders.Session == f.Session {
 			f.Token = d.Orders.Token
@@ -445,7 +517,7 @@
 			if at < 0 {
 				w.checkStart(f, cmd.Task)
 				f.Tasks = append(f.Tasks, protocol.TaskReport{Task: cmd.Task, Attempt: cmd.Attempt, State: protocol.Running})
-				f.running[key] = w.now + 5*time.Second
+				f.running[key] = w.now + w.taskTime
 				if id, _, _ := job.SplitTask(cmd.Task); w.broken[id] || w.faulty[f.Machine] {
 					f.running[key] = w.now + time.Second
 				}
@@ -482,6 +554,18 @@
 	}
 }
 
+// checkCancelled checks that what a user was told is cancelled has gone in time.
+func (w *world) checkCancelled() {
+	for id, at := range w.told {
+		if w.now-at > seconds(w.cfg[w.names[0]].Params.Workers.CancelS) {
+			if n := w.onMachines(id); n > 0 {
+				w.t.Errorf("%v: %d tasks of %s still run, cancelled at %v", w.now, n, id, at)
+			}
+			delete(w.told, id)
+		}
+	}
+}
+
 // inUse sums the CPUs of the tasks of a team's jobs, each named after the team.
 func (w *world) inUse(team string) float64 {
 	sum := 0.0
@@ -539,14 +623,18 @@
 
 func (w *world) cancelJob(node, id string) Answer {
 	w.t.Helper()
-	return w.ask(node, func(req uint64) Command { return Cancel{Req: req, ID: id} })
+	a := w.ask(node, func(req uint64) Command { return Cancel{Req: req, ID: id} })
+	if a.Status == http.StatusOK {
+		w.told[id] = w.now
+	}
+	return a
 }
 
 // ready plays until every node can take requests.
 func (w *world) ready() *world {
 	w.t.Helper()
 	if !w.run(20*time.Second, func() bool {
-		for _, n := range nodeNames {
+		for _, n := range w.names {
 			c := w.cores[n]
 			if c == nil || !c.loaded || c.types == nil || c.term.term == 0 || c.fleet.home == "" {
 				return false
