Never take a cancelled job for done after its home was deposed

Cancellations of jobs that are not final are now mirrored by their keys, apart from the jobs, and a final state that is remembered is never replaced. The test fails without the change.

--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -213,3 +213,26 @@
 		t.Errorf("%d tasks after the lease", len(f.Tasks))
 	}
 }
+
+// A home that was cut from the store learns all at once that it is deposed and that a
+// job was cancelled and has ended. It used to forget the cancellation with its jobs,
+// read the job's later writes as those of a live one, and call it done.
+func TestDeposedHomeDoesNotCallACancelledJobDone(t *testing.T) {
+	w := newWorldOf(t, five)
+	w.racing, w.taskTime = true, time.Minute
+	w.ready()
+	home := w.cores["a"].teamBy["free"].home
+	accepted(t, w.submit(home, "req-free-1", 12, ""))
+	w.started("req-free-1", 3)
+	w.noStore(home)
+	w.run(5*time.Second, nil)
+	w.cancelJob(w.informed(), "req-free-1")
+	if !w.run(time.Minute, func() bool { return w.kv[activeKey("req-free-1")].Version == 0 }) {
+		t.Fatal("the cancelled job does not end")
+	}
+	w.withStore(home)
+	w.run(10*time.Second, nil)
+	if s := stateOf(t, w.status(home, "req-free-1")); s.State != "cancelled" {
+		t.Errorf("%s says %+v", home, s)
+	}
+}
--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -23,11 +23,9 @@
 	if err := json.Unmarshal(value, &k); err != nil {
 		return err
 	}
+	c.withdrawn[id] = k.At
 	c.remember(id, protocol.JobState{ID: id, State: protocol.Cancelled})
-	if j := c.jobs[id]; j != nil {
-		j.CancelAsked = k.At
-		c.markCancelled(j)
-	}
+	c.markCancelled(c.jobs[id])
 	return nil
 }
 
@@ -37,7 +35,7 @@
 		return
 	}
 	j.Cancel()
-	j.CancelledAt = c.now.Steady
+	j.CancelledAt, j.CancelAsked = c.now.Steady, c.withdrawn[j.ID]
 	for i, b := range ordered(j.Bound) {
 		if !b.Stored && !j.InFlight {
 			c.unbind(j, i)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,9 @@
 	marks   map[string]mark
 	intents map[string]*intent
 	finals  map[string]protocol.JobState
+	// withdrawn mirrors the cancellations of jobs that are not final, with the time
+	// of day of each.
+	withdrawn map[string]int64
 	// goneAt holds the revisions that ended jobs.
 	goneAt map[string]uint64
 	// sites mirrors the hand-offs to and from other sites.
@@ -111,7 +114,7 @@
 		waits: map[uint64]func(StoreReply){}, nodes: map[string]nodeKey{},
 		teamBy: map[string]*team{}, jobs: map[string]*job.Job{},
 		orphans: map[string]map[int]protocol.KeyValue{}, marks: map[string]mark{},
-		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, goneAt: map[string]uint64{},
+		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, withdrawn: map[string]int64{}, goneAt: map[string]uint64{},
 		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{}, zoneSeen: map[string]time.Duration{},
 		peers: map[string]*peerState{}, storeOK: true,
 		sites: newSiteRecords(), sched: newSchedState(), rental: newRentState(), spread: newSpread(),
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -49,6 +49,9 @@
 	for machine := range c.marks {
 		out[keyMark+machine] = true
 	}
+	for id := range c.withdrawn {
+		out[cancelKey(id)] = true
+	}
 	for name := range c.intents {
 		out[keyIntent+name] = true
 	}
@@ -129,6 +132,8 @@
 		if j := c.jobs[id]; ok && chunk == 0 && j != nil && j.Version < revision && (!c.mine(j) || c.away(id)) {
 			c.forgetJob(j)
 		}
+	case strings.HasPrefix(key, keyCancel):
+		delete(c.withdrawn, strings.TrimPrefix(key, keyCancel))
 	case strings.HasPrefix(key, keyGate) && key != keyGate:
 		c.siteDropped(key, revision)
 	case key == keyFleet, key == keyGate, strings.HasPrefix(key, keyHome):
@@ -188,6 +193,12 @@
 	j.Version = item.Version
 	if c.jobs[id] == nil {
 		c.addJob(t, j)
+		if _, withdrawn := c.withdrawn[id]; withdrawn {
+			// A deposed home forgets its jobs in the middle of the news; one that was
+			// cancelled before must not come back as if it were not, and be taken for
+			// done at its end (docs/incidents/apart.md).
+			defer c.markCancelled(j)
+		}
 		for n, o := range c.orphans[id] {
 			if err := j.LoadChunk(n, o.Value); err != nil {
 				return err
@@ -258,6 +269,9 @@
 
 // remember caches a final state, which never changes.
 func (c *Core) remember(id string, s protocol.JobState) {
+	if _, known := c.finals[id]; known {
+		return
+	}
 	if len(c.finals) >= finalsKept {
 		clear(c.finals)
 	}
