Serve without links between controllers, by bulletins in the state service

A controller that a live one cannot hear, or that cannot hear one, now writes what the others need to the state service: its sign of life and records, the machines that it hears, and what has become of tasks whose homes are cut off. It starts what its own watch shows as bound to its machines for such homes, at most once under the binding's term and session, and has exited tasks forgotten once the store shows their end. Bulletins are attached to the lease and go when links are back; they take at most a quarter of the changes.

A home no longer drops a stored binding without evidence.

--- /dev/null
+++ b/internal/core/apart.go
@@ -0,0 +1,375 @@
+package core
+
+import (
+	"strings"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/core/bulletin"
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/worker"
+	"pepperlever/internal/protocol"
+)
+
+// apart is how this node gets on with live controllers that it cannot hear, or that
+// cannot hear it: by bulletins in the state service (docs/apart.md).
+type apart struct {
+	// next is when the bulletin is looked at again, acted when starts last were.
+	next, acted time.Duration
+	board       bulletin.Board
+	busy        bool
+	// read holds the bulletins of the other controllers.
+	read map[string]*reading
+}
+
+// reading is the bulletin of another controller, and when its sign of life came.
+type reading struct {
+	at    time.Duration
+	pages map[string]*bulletin.Page
+}
+
+// boardPart is the part of the state service's limit on changes that all
+// controllers' bulletins may take together.
+const boardPart = 1.0 / 4
+
+func pageKey(node, page string) string { return keyBoard + node + "/" + page }
+
+// boardInterval is the pause between two changes of a bulletin, about two pages
+// each time.
+func (c *Core) boardInterval() time.Duration {
+	return max(c.reportInterval()/5, seconds(2*float64(len(c.roster))/(boardPart*c.cfg.Params.State.WriteRPS)))
+}
+
+// misses tells whether a controller lives, by the store, and is not heard here.
+func (c *Core) misses(node string) bool {
+	_, live := c.nodes[node]
+	return live && !c.hears(node)
+}
+
+// missed lists the controllers that this node misses.
+func (c *Core) missed() []string {
+	var out []string
+	for _, node := range c.roster {
+		if c.misses(node) {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
+// cutFrom tells whether messages between this node and a live controller may be
+// lost, one way or both.
+func (c *Core) cutFrom(node string) bool {
+	p := c.peers[node]
+	_, live := c.nodes[node]
+	return p != nil && live && (p.missesMe || !c.hears(node))
+}
+
+// isApart tells whether that is so of any controller.
+func (c *Core) isApart() bool {
+	for node := range c.nodes {
+		if c.cutFrom(node) {
+			return true
+		}
+	}
+	return false
+}
+
+// reaches tells whether a controller gives signs of life here, by a link or by its
+// bulletin. What is bound to the machines of one that does neither is not started.
+func (c *Core) reaches(node string) bool {
+	if c.hears(node) {
+		return true
+	}
+	r := c.apart.read[node]
+	return r != nil && c.misses(node) && c.now.Steady-r.at < c.reportInterval()+2*c.boardInterval()
+}
+
+// homeCut tells whether a job's home is another controller that this node is cut
+// from, so that this node has to act for it on the machines that it hears.
+func (c *Core) homeCut(j *job.Job) bool {
+	t := c.teamBy[j.Team]
+	return t != nil && !t.acting && c.cutFrom(t.home)
+}
+
+// tendApart starts, forgets and publishes for homes that this node is cut from.
+func (c *Core) tendApart() {
+	apart := c.isApart()
+	if apart && c.every(&c.apart.acted, c.reportInterval()/30) {
+		for id, w := range ordered(c.own) {
+			if m := c.machines[id]; m != nil && m.Node == c.cfg.Node {
+				c.startFor(id, w, m)
+				c.forgetFor(m)
+			}
+		}
+	}
+	if !c.every(&c.apart.next, c.boardInterval()) || c.apart.busy || c.lease == 0 {
+		return
+	}
+	var want map[string]json.RawMessage
+	if apart {
+		want = bulletin.Pages(c.boardBeat(), c.facts(), c.heard(), int(c.cfg.Params.State.ValueKB*1024)*7/8)
+	}
+	c.publish(c.apart.board.Diff(want, c.pagesPerTxn()))
+}
+
+// pagesPerTxn keeps a transaction of pages within the limits on changes and size.
+func (c *Core) pagesPerTxn() int {
+	return max(1, min(c.cfg.Params.State.TxnOps, c.valuesPerTxn()))
+}
+
+// boardBeat is this node's sign of life for a bulletin; its number makes each unlike
+// the one before.
+func (c *Core) boardBeat() json.RawMessage {
+	c.nextID++
+	return raw(boardBeat{Number: c.nextID, NodeBeat: NodeBeat{StoreOK: c.storeOK, Due: c.budget.due,
+		Misses: c.missed(), Records: c.ownRecords()}})
+}
+
+type boardBeat struct {
+	Number uint64 `json:"#"`
+	NodeBeat
+}
+
+// startFor starts what the store says is bound to a machine, for homes that may not
+// be able to say so: once, under exactly the term and session of the binding, as the
+// home's own message would. A gang's tasks are started once all of them are bound.
+func (c *Core) startFor(id string, w *control, m *worker.Machine) {
+	if w.mute {
+		return
+	}
+	due := func(ref job.Ref, b *job.Binding) bool {
+		j := ref.Job
+		if b.Term != w.term || b.Session != w.session || j.Cancelled || j.Kind == job.Gang && len(j.Bound) < j.Tasks || !c.homeCut(j) {
+			return false
+		}
+		verdict, _ := m.Judge(j.TaskID(ref.Index), b)
+		return verdict == worker.Open
+	}
+	c.eachOn(id, due, func(j *job.Job, i int, b *job.Binding) {
+		if made, decided := c.decisionOn(id, b.Term, taskAttempt{j.TaskID(i), b.Attempt}); decided {
+			// What became of it is not known: a newer term makes it known, as the
+			// home would ask for.
+			if !made.refused && c.now.Steady-made.at > 2*c.reportInterval() {
+				c.fence(Fence{Machine: id, Above: b.Term})
+			}
+			return
+		}
+		c.log(Debug, "start for a home that is not heard", "task", j.TaskID(i), "attempt", b.Attempt, "machine", id)
+		c.start(c.teamBy[j.Team].home, Start{Machine: id, Task: j.TaskID(i), Attempt: b.Attempt,
+			Term: b.Term, Session: b.Session, Need: j.Need, Revision: c.revision})
+	})
+}
+
+// forgetFor has exited tasks forgotten whose end their home has stored.
+func (c *Core) forgetFor(m *worker.Machine) {
+	if m.Exits == 0 {
+		return
+	}
+	for _, t := range m.Tasks {
+		if t.State != protocol.Exited {
+			continue
+		}
+		id, i, ok := job.SplitTask(t.Task)
+		j := c.jobs[id]
+		if !ok || j == nil || t.Attempt > j.StoredAttempt || !c.homeCut(j) {
+			continue
+		}
+		if b := j.Bound[i]; b == nil || b.Attempt != t.Attempt {
+			c.dismiss(m, t)
+		}
+	}
+}
+
+// facts lists what has become of tasks on this node's machines whose homes may not
+// hear of it, for as long as the store shows them bound.
+func (c *Core) facts() []bulletin.Fact {
+	var out []bulletin.Fact
+	for id := range c.own {
+		m := c.machines[id]
+		if m == nil || m.Node != c.cfg.Node {
+			continue
+		}
+		load := c.ledger.On(id)
+		if load == nil {
+			continue
+		}
+		for ref, b := range load.Tasks {
+			if !b.Stored || !c.homeCut(ref.Job) {
+				continue
+			}
+			task := ref.Job.TaskID(ref.Index)
+			verdict, t := m.Judge(task, b)
+			made, decided := c.decisionOn(id, b.Term, taskAttempt{task, b.Attempt})
+			if verdict == worker.Ended || verdict == worker.Absent || decided && made.refused {
+				out = append(out, bulletin.Fact{Job: ref.Job.ID, Index: ref.Index, Attempt: b.Attempt, Machine: id, Why: t.Why})
+			}
+		}
+	}
+	return out
+}
+
+// heard lists the machines that this node hears.
+func (c *Core) heard() map[bulletin.Kind][]string {
+	out := map[bulletin.Kind][]string{}
+	for id, w := range ordered(c.own) {
+		m := c.machines[id]
+		if m == nil || m.Node != c.cfg.Node || c.now.Steady-m.Seen > 2*c.reportInterval() {
+			continue
+		}
+		k := bulletin.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Term: w.term, Session: m.Session}
+		if m.NoticeAt > 0 {
+			k.NoticeS = max(1, int((m.NoticeAt-c.now.Steady).Seconds()/noticeStep)*noticeStep)
+		}
+		out[k] = append(out[k], id)
+	}
+	return out
+}
+
+// noticeStep is to how many seconds the time of a notice is rounded: a bulletin that
+// changed every second would be written every second.
+const noticeStep = 5
+
+// publish writes changes of this node's bulletin, attached to its lease, so that it
+// ends with this node.
+func (c *Core) publish(changes []bulletin.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	var txn protocol.Txn
+	for _, ch := range changes {
+		key := pageKey(c.cfg.Node, ch.Page)
+		if ch.Value == nil {
+			txn.Then = append(txn.Then, protocol.Change{Delete: key})
+		} else {
+			txn.Then = append(txn.Then, protocol.Change{Put: key, Value: ch.Value, Lease: c.lease})
+		}
+	}
+	lease := c.lease
+	c.apart.busy = true
+	c.txn(txn, true, func(r StoreReply) {
+		c.apart.busy = false
+		if c.lease == lease && (r.Outcome == Applied || r.Outcome == Unknown) {
+			c.apart.board.Stored(changes, r.Outcome == Unknown)
+		}
+	})
+}
+
+// pageWritten takes in a page of another controller's bulletin.
+func (c *Core) pageWritten(item protocol.KeyValue) error {
+	node, name, _ := strings.Cut(strings.TrimPrefix(item.Key, keyBoard), "/")
+	if c.peers[node] == nil {
+		return nil
+	}
+	page := &bulletin.Page{}
+	if err := json.Unmarshal(item.Value, page); err != nil {
+		return err
+	}
+	r := c.apart.read[node]
+	if r == nil {
+		r = &reading{pages: map[string]*bulletin.Page{}}
+		c.apart.read[node] = r
+	}
+	r.pages[name] = page
+	if page.Beat != nil {
+		var b boardBeat
+		if err := json.Unmarshal(page.Beat, &b); err != nil {
+			return err
+		}
+		r.at = c.now.Steady
+		c.nodeBeatIn(node, b.NodeBeat)
+		for _, p := range ordered(r.pages) {
+			c.machinesRead(node, p) // they live as long as it does
+		}
+	}
+	c.machinesRead(node, page)
+	return c.factsRead(page)
+}
+
+func (c *Core) pageDropped(key string) {
+	node, name, _ := strings.Cut(strings.TrimPrefix(key, keyBoard), "/")
+	if r := c.apart.read[node]; r != nil {
+		delete(r.pages, name)
+	}
+}
+
+// machinesRead notes which machines another controller hears. Of what is on them it
+// proves nothing: that takes reports, or facts.
+func (c *Core) machinesRead(node string, p *bulletin.Page) {
+	for _, g := range p.Machines {
+		for _, id := range g.Machines {
+			if !c.marks[id].Gone {
+				c.machineRead(node, id, g.Kind)
+			}
+		}
+	}
+}
+
+func (c *Core) machineRead(node, id string, k bulletin.Kind) {
+	m := c.machines[id]
+	switch {
+	case m == nil:
+		c.cameUp(&protocol.Report{Machine: id, Type: k.Type, Zone: k.Zone, Spot: k.Spot})
+		m = c.addMachine(id)
+	case k.Term < m.Term || k.Session < m.Session:
+		return // a newer controller has it
+	}
+	if m.Session < k.Session {
+		// A new session has none of the tasks of the one before.
+		m.Update(protocol.Report{Machine: id, Type: k.Type, Zone: k.Zone, Spot: k.Spot, Session: k.Session}, c.now.Steady)
+		c.ledger.Touch(id)
+	}
+	if m.Node != node || m.Term != k.Term {
+		m.Node, m.Term = node, k.Term
+		c.sched.dirty = true
+	}
+	if k.NoticeS > 0 && m.NoticeAt == 0 {
+		m.NoticeAt = c.now.Steady + seconds(float64(k.NoticeS))
+	}
+	c.alive(m)
+}
+
+// factsRead ends the bindings of this node's teams of which another controller says
+// what has become.
+func (c *Core) factsRead(p *bulletin.Page) error {
+	all, err := p.All()
+	for _, f := range all {
+		j := c.jobs[f.Job]
+		if j == nil || !c.mine(j) {
+			continue
+		}
+		b := j.Bound[f.Index]
+		if b == nil || !b.Stored || b.Attempt != f.Attempt || b.Machine != f.Machine {
+			continue
+		}
+		m := c.machines[f.Machine]
+		if m == nil {
+			m = &worker.Machine{Report: protocol.Report{Machine: f.Machine}}
+		}
+		if f.Why == "" {
+			m.FullAt = c.now.Steady
+			c.log(Debug, "task was not started", "task", j.TaskID(f.Index), "machine", f.Machine)
+			c.unbind(j, f.Index)
+			continue
+		}
+		t := protocol.TaskReport{Task: j.TaskID(f.Index), Attempt: f.Attempt, State: protocol.Exited, Why: f.Why}
+		if f.Why == protocol.WhyDone || f.Why == protocol.WhyError {
+			c.weigh(j, m, f.Machine, t)
+		}
+		c.ended(j, f.Index, b, m, t)
+	}
+	return err
+}
+
+// readAgain applies the facts of all bulletins once more: this node may have become a
+// home since they were written.
+func (c *Core) readAgain() {
+	for _, r := range ordered(c.apart.read) {
+		for _, p := range ordered(r.pages) {
+			if err := c.factsRead(p); err != nil {
+				c.log(Error, "bulletin is not understood", "error", err.Error())
+			}
+		}
+	}
+}
--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -125,45 +125,50 @@
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			w := newWorldOf(t, five)
-			w.rng = rand.New(rand.NewPCG(seed, 23))
-			w.racing, w.most = true, 60
-			for i := range 60 {
-				w.addWorker(fmt.Sprintf("z%d", 1+i%2), false)
-			}
-			w.ready()
-			var open []string
-			for n := range 14 {
-				w.taskTime = []time.Duration{8 * time.Second, 90 * time.Second}[w.rng.IntN(2)]
-				for _, team := range []string{"red", "blue", "free"} {
-					id := fmt.Sprintf("req-%s-%d", team, n)
-					if w.submit(w.informed(), id, 4+w.rng.IntN(6), "").Status == 201 {
-						open = append(open, id)
-					}
-				}
-				w.disturb()
-				w.run(time.Duration(w.rng.IntN(9))*time.Second, nil)
-				if i := w.rng.IntN(len(open)); w.rng.IntN(2) == 0 {
-					w.cancelJob(w.informed(), open[i])
-					open = slices.Delete(open, i, i+1)
-				}
-				w.disturb()
-			}
-			w.heal()
-			clear(w.unreached)
-			w.run(time.Minute, nil)
-			for _, id := range open {
-				if s, ok := w.state(id); ok && s.State != "done" {
-					t.Errorf("%s is %s", id, s.State)
-				}
-			}
-			if !w.run(20*time.Minute, w.finished(open...)) {
-				t.Errorf("jobs do not end once all troubles have")
-			}
+			playDay(t, seed)
 		})
 	}
 }
 
+// playDay plays one such day.
+func playDay(t *testing.T, seed uint64) {
+	w := newWorldOf(t, five)
+	w.rng = rand.New(rand.NewPCG(seed, 23))
+	w.racing, w.most = true, 60
+	for i := range 60 {
+		w.addWorker(fmt.Sprintf("z%d", 1+i%2), false)
+	}
+	w.ready()
+	var open []string
+	for n := range 14 {
+		w.taskTime = []time.Duration{8 * time.Second, 90 * time.Second}[w.rng.IntN(2)]
+		for _, team := range []string{"red", "blue", "free"} {
+			id := fmt.Sprintf("req-%s-%d", team, n)
+			if w.submit(w.informed(), id, 4+w.rng.IntN(6), "").Status == 201 {
+				open = append(open, id)
+			}
+		}
+		w.disturb()
+		w.run(time.Duration(w.rng.IntN(9))*time.Second, nil)
+		if i := w.rng.IntN(len(open)); w.rng.IntN(2) == 0 {
+			w.cancelJob(w.informed(), open[i])
+			open = slices.Delete(open, i, i+1)
+		}
+		w.disturb()
+	}
+	w.heal()
+	clear(w.unreached)
+	w.run(time.Minute, nil)
+	for _, id := range open {
+		if s, ok := w.state(id); ok && s.State != "done" {
+			t.Errorf("%s is %s", id, s.State)
+		}
+	}
+	if !w.run(20*time.Minute, w.finished(open...)) {
+		t.Errorf("jobs do not end once all troubles have")
+	}
+}
+
 // disturb causes one trouble, or ends all.
 func (w *world) disturb() {
 	node := w.names[w.rng.IntN(len(w.names))]
@@ -175,7 +180,7 @@
 		}
 	}
 	hurt := sound > 2 && w.cores[node] != nil && !w.cut[node] && !w.frozen[node]
-	switch what := w.rng.IntN(8); {
+	switch what := w.rng.IntN(10); {
 	case what == 0:
 		w.refuse(everyLink)
 	case what == 1:
@@ -192,6 +197,10 @@
 	case what == 6:
 		w.heal()
 	case what == 7:
+		w.hold(everyLink)
+	case what == 8:
+		w.hold(func(f, t string) bool { return f == node && t == other })
+	case what == 9:
 		w.unreached[fmt.Sprintf("vm-%06d", 1+w.rng.IntN(60))] = true
 	}
 }
@@ -214,6 +223,84 @@
 	}
 }
 
+// Starts, ends and the room on machines used to travel by links alone: without them a
+// team had no more than the machines that its home happened to hear.
+func TestJobsOfAllTeamsEndWhileNoControllerHearsAnother(t *testing.T) {
+	for name, cut := range map[string]func(w *world){
+		"refused":      func(w *world) { w.refuse(everyLink) },
+		"slow":         func(w *world) { w.hold(everyLink) },
+		"one way":      func(w *world) { w.refuse(func(f, t string) bool { return f < t }) },
+		"in two parts": func(w *world) { w.refuse(func(f, t string) bool { return (f < "c") != (t < "c") }) },
+		"none":         func(w *world) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorldOf(t, five)
+			for i := range 30 {
+				w.addWorker(fmt.Sprintf("z%d", 1+i%2), false)
+			}
+			w.most = 30
+			w.ready()
+			w.run(10*time.Second, nil)
+			accepted(t, w.submit("a", "req-free-0", 40, ""))
+			w.run(2*time.Second, nil)
+			cut(w)
+			w.run(5*time.Second, nil)
+			ids := []string{"req-free-0"}
+			for i, team := range []string{"red", "blue", "free"} {
+				id := "req-" + team + "-1"
+				accepted(t, w.submit(w.names[i+1], id, 8, ""))
+				ids = append(ids, id)
+			}
+			at := w.now
+			if !w.run(45*time.Second, w.finished(ids...)) {
+				t.Fatal("jobs do not end without links")
+			}
+			// Of each job no more machines are used than one controller hears only by chance.
+			w.restore()
+			w.run(20*time.Second, nil)
+			w.startedOnce()
+			for key := range w.kv {
+				if strings.HasPrefix(key, keyBoard) {
+					t.Errorf("%s is left when all links are back", key)
+				}
+			}
+			t.Logf("ended %v after the submission", w.now-at)
+		})
+	}
+}
+
+// A home's message that comes over a slow link, long after the machine's controller
+// has started the task by its own watch and the task has ended, must not start it again.
+func TestStartThatComesLateIsNotGivenAgain(t *testing.T) {
+	w := newWorldOf(t, five)
+	for i := range 10 {
+		w.addWorker(fmt.Sprintf("z%d", 1+i%2), false)
+	}
+	w.most = 10
+	w.ready()
+	w.run(10*time.Second, nil)
+	w.hold(everyLink)
+	accepted(t, w.submit("a", "req-free-1", 20, ""))
+	if !w.run(45*time.Second, w.finished("req-free-1")) {
+		t.Fatal("job does not end while links are slow")
+	}
+	held := 0
+	for _, ms := range w.late {
+		for _, m := range ms {
+			if m.Start != nil {
+				held++
+			}
+		}
+	}
+	w.restore()
+	w.run(20*time.Second, nil)
+	if held == 0 {
+		t.Error("no start was held back")
+	}
+	w.startedOnce()
+}
+
 // A home that was cut from the store learns all at once that it is deposed and that a
 // job was cancelled and has ended. It used to forget the cancellation with its jobs,
 // read the job's later writes as those of a live one, and call it done.
--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -49,8 +49,8 @@
 	homes := float64(len(c.roster))
 	least := left / 4 / homes
 	all := c.budget.due
-	for _, p := range c.peers {
-		if c.now.Steady-p.seen < c.reportInterval() {
+	for node, p := range c.peers {
+		if c.reaches(node) {
 			for r, n := range p.due {
 				all[r] += n
 			}
--- /dev/null
+++ b/internal/core/bulletin/bulletin_test.go
@@ -0,0 +1,99 @@
+package bulletin
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/segmentio/encoding/json"
+	"pgregory.net/rapid"
+)
+
+// Whatever a controller has to say fits into pages and is read again as it was, and
+// the changes that are written, in any portions and with lost answers, end with the
+// store holding those pages.
+func TestPagesHoldEverythingWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(512, 8192).Draw(t, "limit")
+		said := map[Fact]bool{}
+		for _, n := range rapid.SliceOfN(rapid.IntRange(0, 5000), 0, 400).Draw(t, "facts") {
+			said[Fact{fmt.Sprintf("req-%06d", n%7), n, uint64(n) * 3, fmt.Sprintf("vm-%06d", n), []string{"done", "error", ""}[n%3]}] = true
+		}
+		machines := map[Kind][]string{}
+		for _, n := range rapid.SliceOfN(rapid.IntRange(0, 9000), 0, 400).Draw(t, "machines") {
+			k := Kind{Type: "sixteen", Zone: fmt.Sprint("z", n%3), Spot: n%2 == 0, Term: uint64(n % 40), Session: 1, NoticeS: n % 4}
+			machines[k] = append(machines[k], fmt.Sprintf("vm-%06d", n))
+		}
+		want := Pages(json.RawMessage(`{"n":1}`), keysOf(said), machines, limit)
+
+		var board Board
+		stored := map[string]json.RawMessage{}
+		for round := 0; ; round++ {
+			changes := board.Diff(want, rapid.IntRange(1, 8).Draw(t, "portion"))
+			if len(changes) == 0 {
+				break
+			}
+			for _, c := range changes {
+				if stored[c.Page] = c.Value; c.Value == nil {
+					delete(stored, c.Page)
+				}
+			}
+			board.Stored(changes, round < 3 && rapid.Bool().Draw(t, "no answer"))
+		}
+		heard := map[Kind][]string{}
+		for name, value := range stored {
+			if len(value) > limit {
+				t.Fatalf("page %s has %d bytes", name, len(value))
+			}
+			var p Page
+			if err := json.Unmarshal(value, &p); err != nil {
+				t.Fatal(err)
+			}
+			if (name == FirstPage) != (p.Beat != nil) {
+				t.Fatalf("page %s: sign of life is %s", name, p.Beat)
+			}
+			facts, err := p.All()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, f := range facts {
+				if !said[f] {
+					t.Fatalf("%+v was never said", f)
+				}
+				delete(said, f)
+			}
+			for _, g := range p.Machines {
+				heard[g.Kind] = append(heard[g.Kind], g.Machines...)
+			}
+		}
+		if len(said) > 0 {
+			t.Fatalf("%d facts are lost", len(said))
+		}
+		for k, ids := range machines {
+			slices.Sort(ids)
+			if slices.Sort(heard[k]); !slices.Equal(ids, heard[k]) {
+				t.Fatalf("%+v: %d machines of %d", k, len(heard[k]), len(ids))
+			}
+		}
+		board.Stored(board.Diff(nil, 1<<20), false)
+		if !board.Empty() {
+			t.Fatal("pages are left once there is nothing to say")
+		}
+	})
+}
+
+func keysOf(m map[Fact]bool) []Fact {
+	var out []Fact
+	for f := range m {
+		out = append(out, f)
+	}
+	return out
+}
+
+func TestMalformedFactsAreErrors(t *testing.T) {
+	for _, s := range []string{"", "1 2 vm", "x 2 vm done", "1 -2 vm done", "1 2 vm done more"} {
+		if _, err := (&Page{Facts: map[string][]string{"req-1": {s}}}).All(); err == nil {
+			t.Errorf("%q is taken", s)
+		}
+	}
+}
--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -91,8 +91,8 @@
 
 // answersFor tells whether it is for this node to have a machine given back for a
 // task of a cancelled job: its controller sees what is left there. The home
-// answers for machines whose controller it hears too, or that nobody is known to
-// hear. It leaves alone those of a live controller that it cannot hear: they may
+// answers for machines whose controller it reaches too, or that nobody is known to
+// hear. It leaves alone those of a live controller that it does not: they may
 // have stopped long ago.
 func (c *Core) answersFor(j *job.Job, i int, b *job.Binding) bool {
 	m := c.machines[b.Machine]
@@ -103,7 +103,7 @@
 		return false
 	}
 	_, live := c.nodes[m.Node]
-	return m.Node == c.cfg.Node || c.mine(j) && (c.hears(m.Node) || !live)
+	return m.Node == c.cfg.Node || c.mine(j) && (c.reaches(m.Node) || !live)
 }
 
 // condemn asks the renter to give a machine back with all that is on it. Where
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -42,7 +42,9 @@
 
 // termState is this node's fencing token and who waits for a newer one.
 type termState struct {
-	term   uint64
+	term uint64
+	// own holds all terms that this run of the process has taken.
+	own    map[uint64]bool
 	taking bool
 	beats  []Beat
 	raise  map[string]uint64
@@ -102,6 +104,7 @@
 
 func (c *Core) termTaken(term uint64) {
 	c.term.term = term
+	c.term.own[term] = true
 	c.log(Info, "term taken", "term", term)
 	beats := c.term.beats
 	c.term.beats = nil
@@ -227,12 +230,21 @@
 	c.observe(o)
 }
 
-// start forwards a bound task's start, or refuses it for good.
+// start forwards a bound task's start, or refuses it for good. One that was decided
+// on before is not decided again: it may come over a slow link long after this node
+// has started it by what its own watch showed.
 func (c *Core) start(from string, s Start) {
 	w := c.own[s.Machine]
-	if why := c.cannotStart(w, s); why != "" {
+	why, before := c.decidedOn(&s)
+	if !before {
+		why = c.cannotStart(w, s)
+		c.decideOn(&s, why != "")
+	}
+	if why != "" {
 		c.log(Info, "start refused", "task", s.Task, "machine", s.Machine, "home", from, "why", why)
 		c.tell(from, PeerMsg{Refusal: &Refusal{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt}})
+	}
+	if before || why != "" {
 		return
 	}
 	w.sent[taskAttempt{s.Task, s.Attempt}] = s.Need
@@ -253,6 +265,8 @@
 		return "session has passed"
 	case w.mute:
 		return "worker does not answer"
+	case s.Revision > 0 && s.Revision <= c.revision && !c.shows(s.Machine, taskAttempt{s.Task, s.Attempt}):
+		return "binding has passed"
 	case c.startsCancelled(s):
 		return "job is cancelled"
 	case !c.fitsNow(s, w):
@@ -364,6 +378,9 @@
 
 // tendControls forgets workers that have gone elsewhere or fallen silent.
 func (c *Core) tendControls() {
+	if len(c.term.raise) > 0 {
+		c.takeTerm() // it failed before, and the homes that asked may not be heard
+	}
 	for id, w := range ordered(c.own) {
 		m := c.machines[id]
 		elsewhere := m != nil && m.Node != c.cfg.Node
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,7 +59,9 @@
 	ids    []string
 	ledger *job.Ledger
 	own    map[string]*control
-	term   termState
+	// decided holds what was decided on starts, by machine.
+	decided map[string]*decisions
+	term    termState
 	// zoneSeen is when any machine of a zone last gave a sign of life.
 	zoneSeen map[string]time.Duration
 	// observed waits for being passed on to the other controllers.
@@ -74,6 +76,7 @@
 
 	peers   map[string]*peerState
 	storeOK bool
+	apart   apart
 
 	// gate is this site's gateway to others, nil without one.
 	gate *gate
@@ -115,9 +118,9 @@
 		teamBy: map[string]*team{}, jobs: map[string]*job.Job{},
 		orphans: map[string]map[int]protocol.KeyValue{}, marks: map[string]mark{},
 		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, withdrawn: map[string]int64{}, goneAt: map[string]uint64{},
-		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{}, zoneSeen: map[string]time.Duration{},
+		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{}, decided: map[string]*decisions{}, zoneSeen: map[string]time.Duration{},
 		peers: map[string]*peerState{}, storeOK: true,
-		sites: newSiteRecords(), sched: newSchedState(), rental: newRentState(), spread: newSpread(),
+		sites: newSiteRecords(), sched: newSchedState(), rental: newRentState(), spread: newSpread(), term: termState{own: map[uint64]bool{}}, apart: apart{read: map[string]*reading{}},
 	}
 	for _, t := range cfg.Params.Teams {
 		c.addTeam(&team{Team: t, key: keyHome + teamPart(t.Name), jobs: map[string]*job.Job{}})
@@ -238,6 +241,10 @@
 	if c.loaded && c.every(&c.timers.settle, report/3) {
 		c.settleAll()
 		c.tendControls()
+		c.forgetDecisions()
+	}
+	if c.loaded {
+		c.tendApart()
 	}
 	if c.every(&c.timers.catalog, c.catalogInterval()) {
 		c.emit(FetchCatalog{})
--- /dev/null
+++ b/internal/core/decided.go
@@ -0,0 +1,123 @@
+package core
+
+import (
+	"time"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/worker"
+)
+
+// decisions are what this node has decided on the starts of tasks that were bound
+// to a machine under one fencing term. The term is this run's alone, so it decides
+// on each such start at most once: forwarded or refused, by a home's message or by
+// what its own watch shows, and no other controller can forward it. What was decided
+// is kept for as long as the start could come up again.
+type decisions struct {
+	term uint64
+	made map[taskAttempt]decision
+}
+
+// decision is what was decided on one start, when, and at which revision of the store
+// its binding was there at the latest.
+type decision struct {
+	refused  bool
+	at       time.Duration
+	revision uint64
+}
+
+// decisionsOn are the decisions on a machine under a term, or nil for a term that has
+// passed.
+func (c *Core) decisionsOn(machine string, term uint64) *decisions {
+	d := c.decided[machine]
+	switch {
+	case d == nil || term > d.term:
+		d = &decisions{term: term, made: map[taskAttempt]decision{}}
+		c.decided[machine] = d
+	case term < d.term:
+		return nil
+	}
+	return d
+}
+
+// decideOn notes a decision. A refused one is for good even where the worker comes back
+// under the same term.
+func (c *Core) decideOn(s *Start, refused bool) {
+	if d := c.decisionsOn(s.Machine, s.Term); d != nil {
+		d.made[taskAttempt{s.Task, s.Attempt}] = decision{refused, c.now.Steady, s.Revision}
+	}
+}
+
+// decidedOn tells whether a start was decided on before, and why it is refused if it
+// is. What was decided under a term that has passed, or by an earlier run of this
+// process, is not known any more, and then only a report that proves the task absent
+// is a reason: a refusal would have its home start the task elsewhere while it runs
+// here.
+func (c *Core) decidedOn(s *Start) (why string, before bool) {
+	d := c.decided[s.Machine]
+	if !c.term.own[s.Term] || d != nil && d.term > s.Term {
+		b := job.Binding{Machine: s.Machine, Attempt: s.Attempt, Term: s.Term, Session: s.Session}
+		if m := c.machines[s.Machine]; m != nil {
+			if verdict, _ := m.Judge(s.Task, &b); verdict == worker.Absent {
+				why = "term has passed"
+			}
+		}
+		return why, true
+	}
+	if d == nil || d.term < s.Term {
+		return "", false
+	}
+	made, before := d.made[taskAttempt{s.Task, s.Attempt}]
+	if made.refused {
+		why = "refused before"
+	}
+	return why, before
+}
+
+// decisionOn looks a decision up.
+func (c *Core) decisionOn(machine string, term uint64, k taskAttempt) (decision, bool) {
+	d := c.decided[machine]
+	if d == nil || d.term != term {
+		return decision{}, false
+	}
+	out, ok := d.made[k]
+	return out, ok
+}
+
+// shows tells whether the replica has a binding of an attempt to a machine.
+func (c *Core) shows(machine string, k taskAttempt) bool {
+	id, i, ok := job.SplitTask(k.task)
+	j := c.jobs[id]
+	if !ok || j == nil {
+		return false
+	}
+	b := j.Bound[i]
+	return b != nil && b.Stored && b.Attempt == k.attempt && b.Machine == machine
+}
+
+// forgetDecisions drops decisions whose binding the store no longer holds: a start
+// that still comes for one is refused, since the replica is past it. A job that is not
+// in the replica may be one that is being read again.
+func (c *Core) forgetDecisions() {
+	for machine, d := range c.decided {
+		for k, made := range d.made {
+			if made.revision <= c.revision && c.settled(k) && !c.shows(machine, k) {
+				delete(d.made, k)
+			}
+		}
+		if len(d.made) == 0 && c.own[machine] == nil && c.machines[machine] == nil {
+			delete(c.decided, machine)
+		}
+	}
+}
+
+// settled tells whether the replica has a task's job as the store does, or knows that
+// the job has ended.
+func (c *Core) settled(k taskAttempt) bool {
+	id, _, _ := job.SplitTask(k.task)
+	j := c.jobs[id]
+	if j == nil {
+		_, ended := c.finals[id]
+		return ended || c.goneAt[id] > 0
+	}
+	return !c.mine(j) || !j.Dirty() && !j.InFlight
+}
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -67,7 +67,7 @@
 		switch quiet := c.now.Steady - m.Seen; {
 		case m.NoticeAt > 0 && c.now.Steady > m.NoticeAt+c.reportInterval()/4:
 			c.doom(id, "taken back")
-		case quiet > c.silence() && c.everyoneHeard() && !(dark[m.Zone] && quiet < darkPatience*seconds(c.cfg.Params.Workers.LeaseS)):
+		case quiet > c.silence() && c.everyoneReached() && !(dark[m.Zone] && quiet < darkPatience*seconds(c.cfg.Params.Workers.LeaseS)):
 			c.doom(id, "silent")
 		case quiet > 2*c.reportInterval() && c.unlisted(id):
 			c.doom(id, "no longer listed")
@@ -78,11 +78,11 @@
 	}
 }
 
-// everyoneHeard tells whether this node hears from every live controller; only
+// everyoneReached tells whether this node has signs of life of every live controller; only
 // then is a machine's silence the machine's own.
-func (c *Core) everyoneHeard() bool {
+func (c *Core) everyoneReached() bool {
 	for node := range c.nodes {
-		if !c.hears(node) {
+		if !c.reaches(node) {
 			return false
 		}
 	}
@@ -115,7 +115,7 @@
 		if p.Zone != zone {
 			continue
 		}
-		if controllers++; c.hears(p.Node) {
+		if controllers++; c.reaches(p.Node) {
 			return false
 		}
 	}
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -9,6 +9,7 @@
 // leaseUp starts over under a fresh lease.
 func (c *Core) leaseUp(lease uint64) {
 	c.lease, c.enrolled = lease, false
+	c.apart.board.Clear()
 	c.enroll()
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -61,8 +61,12 @@
 
 // chunksPerTxn keeps a transaction within the limits on changes and size.
 func (c *Core) chunksPerTxn() int {
-	bySize := int(float64(protocol.MaxBody) / 1024 * 3 / 4 / c.cfg.Params.State.ValueKB)
-	return max(1, min(c.cfg.Params.State.TxnOps-3, bySize-2))
+	return max(1, min(c.cfg.Params.State.TxnOps-3, c.valuesPerTxn()-2))
+}
+
+// valuesPerTxn is how many values of the largest size fit into a transaction.
+func (c *Core) valuesPerTxn() int {
+	return int(float64(protocol.MaxBody) / 1024 * 3 / 4 / c.cfg.Params.State.ValueKB)
 }
 
 // closeUpdate adds the head, or its removal, and the conditions of bindings.
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -24,6 +24,7 @@
 	keyMark    = Root + "x/" // j/x/<machine>: closing or gone
 	keyIntent  = Root + "v/" // j/v/<request>: a rental
 	keyRecord  = Root + "r/" // j/r/<team>: remembered use
+	keyBoard   = Root + "b/" // j/b/<node>/<page>: what a controller has to say to those that can't hear it
 	keyGate    = Root + "g"  // the home of the gateway to other sites; its records begin alike, see sites.go
 	keyState   = "u/"        // u/<job>: the final state of a job, for good
 	keyFleet   = Root + "f"  // the home of the renting of machines
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -303,6 +303,8 @@
 	Term    uint64        `json:"k"`
 	Session uint64        `json:"s"`
 	Need    job.Resources `json:"r"`
+	// Revision is one at which the store held the binding.
+	Revision uint64 `json:"v,omitempty"`
 }
 
 // Refusal tells that a start was not and never will be forwarded.
@@ -339,6 +341,8 @@
 	Records map[string]fairness.Record `json:"r,omitempty"`
 	// Heard names the machines that this node has heard since its last beat.
 	Heard []string `json:"h,omitempty"`
+	// Misses names the live controllers that this node does not hear.
+	Misses []string `json:"m,omitempty"`
 }
 
 // Now is the time of one step: Steady for intervals, Wall (milliseconds) for
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"maps"
+	"slices"
 	"time"
 
 	"pepperlever/internal/core/fairness"
@@ -15,6 +16,8 @@
 	seen      time.Duration
 	// due is how many changes of jobs wait there to be stored.
 	due ranks
+	// missesMe is set while it says that it does not hear this node.
+	missesMe bool
 }
 
 // hears tells whether a controller has given a sign of life lately, directly or
@@ -165,15 +168,9 @@
 // nodeBeat sends this node's sign of life, with the records of its teams every
 // record interval.
 func (c *Core) nodeBeat() {
-	b := NodeBeat{StoreOK: c.storeOK, Due: c.budget.due}
+	b := NodeBeat{StoreOK: c.storeOK, Due: c.budget.due, Misses: c.missed()}
 	if c.every(&c.timers.share, recordInterval) {
-		b.Records = map[string]fairness.Record{}
-		for _, t := range c.teams {
-			if t.acting {
-				t.ranked = t.record
-				b.Records[t.Name] = t.record
-			}
-		}
+		b.Records = c.ownRecords()
 	}
 	for id := range ordered(c.own) {
 		if m := c.machines[id]; m != nil && m.Node == c.cfg.Node && m.Seen > c.beatAt {
@@ -184,12 +181,26 @@
 	c.broadcast(PeerMsg{Beat: &b})
 }
 
+// ownRecords are the records of the teams that this node is home of, by which it
+// ranks from now on as the others do.
+func (c *Core) ownRecords() map[string]fairness.Record {
+	out := map[string]fairness.Record{}
+	for _, t := range c.teams {
+		if t.acting {
+			t.ranked = t.record
+			out[t.Name] = t.record
+		}
+	}
+	return out
+}
+
 func (c *Core) nodeBeatIn(node string, b NodeBeat) {
 	p := c.peers[node]
 	if p == nil {
 		return
 	}
 	p.storeOK, p.due = b.StoreOK, b.Due
+	p.missesMe = slices.Contains(b.Misses, c.cfg.Node)
 	for name, r := range b.Records {
 		if t := c.teamBy[name]; t != nil && !t.acting {
 			t.record, t.ranked = r, r
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -58,6 +58,11 @@
 	for key := range c.sites.versions {
 		out[key] = true
 	}
+	for node, r := range c.apart.read {
+		for page := range r.pages {
+			out[pageKey(node, page)] = true
+		}
+	}
 	return out
 }
 
@@ -91,6 +96,8 @@
 		err = c.cancelWritten(strings.TrimPrefix(key, keyCancel), item.Value)
 	case key == keyFleet, key == keyGate, strings.HasPrefix(key, keyHome):
 		err = c.homeWritten(item)
+	case strings.HasPrefix(key, keyBoard):
+		err = c.pageWritten(item)
 	case strings.HasPrefix(key, keyGate):
 		err = c.siteWritten(item)
 	case strings.HasPrefix(key, keyNode):
@@ -146,6 +153,8 @@
 		c.log(Info, "controller is gone", "node", strings.TrimPrefix(key, keyNode))
 		delete(c.nodes, strings.TrimPrefix(key, keyNode))
 		c.timers.homes = 0
+	case strings.HasPrefix(key, keyBoard):
+		c.pageDropped(key)
 	case strings.HasPrefix(key, keyMark):
 		delete(c.marks, strings.TrimPrefix(key, keyMark))
 	case strings.HasPrefix(key, keyIntent):
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -168,7 +168,7 @@
 		return false
 	}
 	quiet := c.now.Steady - m.Seen
-	return c.hears(m.Node) && quiet < 2*c.reportInterval()+c.reportInterval()/2 && c.faults(m) < guiltyAt &&
+	return c.reaches(m.Node) && quiet < 2*c.reportInterval()+c.reportInterval()/2 && c.faults(m) < guiltyAt &&
 		(m.FullAt == 0 || c.now.Steady-m.FullAt > c.reportInterval()/2)
 }
 
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -26,15 +26,19 @@
 		if !b.Stored || b.Sent || b.Stopping {
 			continue
 		}
+		b.Sent, b.Since = true, c.now.Steady
 		m := c.machines[b.Machine]
 		if m == nil || m.Term != b.Term || m.Session != b.Session {
-			c.unbind(j, i) // would be refused, and was never sent
+			// It would be refused, but the controller that had the machine may start
+			// it by its own watch meanwhile: only evidence settles it.
+			if m != nil {
+				c.settle(j, i, b, m)
+			}
 			continue
 		}
-		b.Sent, b.Since = true, c.now.Steady
 		c.log(Debug, "start sent", "task", j.TaskID(i), "attempt", b.Attempt, "machine", b.Machine)
 		c.tell(m.Node, PeerMsg{Start: &Start{Machine: b.Machine, Task: j.TaskID(i), Attempt: b.Attempt,
-			Term: b.Term, Session: b.Session, Need: j.Need}})
+			Term: b.Term, Session: b.Session, Need: j.Need, Revision: j.Version}})
 	}
 }
 
@@ -92,13 +96,18 @@
 // eachMine visits the stored bindings on a machine that concern f and whose jobs
 // this node holds, in order. f may end them.
 func (c *Core) eachMine(machine string, concerns func(job.Ref, *job.Binding) bool, f func(*job.Job, int, *job.Binding)) {
+	c.eachOn(machine, func(ref job.Ref, b *job.Binding) bool { return c.mine(ref.Job) && concerns(ref, b) }, f)
+}
+
+// eachOn visits the stored bindings on a machine that concern f, in order.
+func (c *Core) eachOn(machine string, concerns func(job.Ref, *job.Binding) bool, f func(*job.Job, int, *job.Binding)) {
 	load := c.ledger.On(machine)
 	if load == nil {
 		return
 	}
 	var refs []job.Ref
 	for ref, b := range load.Tasks {
-		if b.Stored && c.mine(ref.Job) && concerns(ref, b) {
+		if b.Stored && concerns(ref, b) {
 			refs = append(refs, ref)
 		}
 	}
@@ -233,6 +242,7 @@
 // stays unproven is fenced, what must go is stopped, and what does not go is
 // given back with its machine.
 func (c *Core) settleAll() {
+	c.readAgain()
 	for _, t := range c.teams {
 		if !t.acting {
 			c.stopForOthers(t)
@@ -254,11 +264,13 @@
 }
 
 func (c *Core) tendBinding(j *job.Job, i int, b *job.Binding) {
-	neverSent := j.Cancelled && !b.Sent
-	if c.marks[b.Machine].Gone || neverSent {
+	if c.marks[b.Machine].Gone {
 		c.unbind(j, i)
 		return
 	}
+	if j.Cancelled && !b.Sent {
+		b.Sent, b.Since = true, c.now.Steady // by the watch of its machine's controller, perhaps
+	}
 	m := c.machines[b.Machine]
 	if c.unheardOf(m, b) {
 		c.condemn(b.Machine, unheard)
@@ -290,7 +302,7 @@
 	if m == nil {
 		return c.now.Steady-b.Since > c.silence()
 	}
-	return c.now.Steady-max(m.Seen, b.Since) > 2*c.silence() && c.everyoneHeard()
+	return c.now.Steady-max(m.Seen, b.Since) > 2*c.silence() && c.everyoneReached()
 }
 
 // silence is how long a machine may say nothing before it is given up: a
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -76,7 +76,10 @@
 	taskTime time.Duration
 	// refused holds the links between controllers over which nothing passes, frozen
 	// the controllers that stand still, unreached the workers without a network.
-	refused   map[link]bool
+	refused map[link]bool
+	// slow links hold back what is sent over them until they are restored.
+	slow      map[link]bool
+	late      map[link][]PeerMsg
 	frozen    map[string]bool
 	unreached map[string]bool
 	// told is when the user of a job was told that it is cancelled.
@@ -127,7 +130,7 @@
 		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{}, broken: map[string]bool{}, faulty: map[string]bool{},
 		deaf: map[string]bool{}, redirected: map[string]int{},
 		cfg: map[string]*settings.Settings{}, names: names, most: 40, taskTime: 5 * time.Second,
-		refused: map[link]bool{}, frozen: map[string]bool{}, unreached: map[string]bool{}, told: map[string]time.Duration{}}
+		refused: map[link]bool{}, slow: map[link]bool{}, late: map[link][]PeerMsg{}, frozen: map[string]bool{}, unreached: map[string]bool{}, told: map[string]time.Duration{}}
 	for _, n := range names {
 		w.boot(n)
 	}
@@ -176,12 +179,28 @@
 }
 
 func (w *world) restore() {
+	clear(w.slow)
 	for _, from := range w.names {
 		for _, to := range w.names {
 			if w.refused[link{from, to}] {
 				delete(w.refused, link{from, to})
 				w.connect(from, to)
 			}
+			for _, m := range w.late[link{from, to}] {
+				w.send(to, PeerIn{Node: from, Msg: m})
+			}
+			delete(w.late, link{from, to})
+		}
+	}
+}
+
+// hold lets all links for which is holds be slow.
+func (w *world) hold(is func(from, to string) bool) {
+	for _, from := range w.names {
+		for _, to := range w.names {
+			if from != to && is(from, to) {
+				w.slow[link{from, to}] = true
+			}
 		}
 	}
 }
@@ -284,7 +303,11 @@
 		w.load(node)
 	case SendPeer:
 		for _, to := range e.Nodes {
-			if w.cores[to] != nil && !w.refused[link{node, to}] {
+			switch l := (link{node, to}); {
+			case w.cores[to] == nil || w.refused[l]:
+			case w.slow[l]:
+				w.late[l] = append(w.late[l], e.Msg)
+			default:
 				w.send(to, PeerIn{Node: node, Msg: e.Msg})
 			}
 		}
