Keep the facts of a bulletin in no map of string slices

The JSON library corrupts memory where it reads a map from strings to slices of strings; the bulletins were the first to have one. On a controller it would have been an end of the process. The race detector and forty plain runs saw nothing.

Facts are a list by job now. A test walks all types that are read from the store and from peers for such maps.

--- a/internal/core/bulletin/bulletin.go
+++ b/internal/core/bulletin/bulletin.go
@@ -48,9 +48,17 @@
 // Page is one key's worth of a bulletin.
 type Page struct {
 	// Beat is the controller's sign of life; only the first page has it.
-	Beat     json.RawMessage     `json:"b,omitempty"`
-	Facts    map[string][]string `json:"f,omitempty"`
-	Machines []Group             `json:"m,omitempty"`
+	Beat     json.RawMessage `json:"b,omitempty"`
+	Facts    []JobFacts      `json:"f,omitempty"`
+	Machines []Group         `json:"m,omitempty"`
+}
+
+// JobFacts are the facts on one job, each in its short form. They are no map from
+// strings to slices of strings: the JSON library corrupts memory where it reads one
+// (docs/incidents/apart.md).
+type JobFacts struct {
+	Job  string   `json:"j"`
+	Said []string `json:"s"`
 }
 
 // String is the stored form of a fact within its job.
@@ -61,8 +69,9 @@
 // All lists the facts of a page in order; what is malformed is an error.
 func (p *Page) All() ([]Fact, error) {
 	var out []Fact
-	for _, id := range slices.Sorted(maps.Keys(p.Facts)) {
-		for _, s := range p.Facts[id] {
+	for _, of := range p.Facts {
+		id := of.Job
+		for _, s := range of.Said {
 			part := strings.Split(s, " ")
 			if len(part) != 4 {
 				return nil, fmt.Errorf("fact %q of %s has %d parts", s, id, len(part))
@@ -91,20 +100,24 @@
 	facts = slices.SortedFunc(slices.Values(facts), func(a, b Fact) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
 	})
-	pages := []*Page{{Beat: beat, Facts: map[string][]string{}}}
+	pages := []*Page{{Beat: beat}}
 	size := len(beat) + overhead
 	for _, f := range facts {
 		page, s := pages[len(pages)-1], f.String()
-		n := len(s) + 3
-		if page.Facts[f.Job] == nil {
+		n, first := len(s)+3, len(page.Facts) == 0 || page.Facts[len(page.Facts)-1].Job != f.Job
+		if first {
 			n += len(f.Job) + overhead
 		}
 		if size+n > limit {
-			page, size = &Page{Facts: map[string][]string{}}, overhead
+			page, size, first = &Page{}, overhead, true
 			pages = append(pages, page)
 			n = len(s) + 3 + len(f.Job) + overhead
 		}
-		page.Facts[f.Job] = append(page.Facts[f.Job], s)
+		if first {
+			page.Facts = append(page.Facts, JobFacts{Job: f.Job})
+		}
+		of := &page.Facts[len(page.Facts)-1]
+		of.Said = append(of.Said, s)
 		size += n
 	}
 	out := map[string]json.RawMessage{}
--- a/internal/core/bulletin/bulletin_test.go
+++ b/internal/core/bulletin/bulletin_test.go
@@ -92,7 +92,7 @@
 
 func TestMalformedFactsAreErrors(t *testing.T) {
 	for _, s := range []string{"", "1 2 vm", "x 2 vm done", "1 -2 vm done", "1 2 vm done more"} {
-		if _, err := (&Page{Facts: map[string][]string{"req-1": {s}}}).All(); err == nil {
+		if _, err := (&Page{Facts: []JobFacts{{"req-1", []string{s}}}}).All(); err == nil {
 			t.Errorf("%q is taken", s)
 		}
 	}
--- /dev/null
+++ b/internal/core/wire_test.go
@@ -0,0 +1,43 @@
+package core
+
+import (
+	"reflect"
+	"testing"
+
+	"pepperlever/internal/core/bulletin"
+	"pepperlever/internal/protocol"
+)
+
+// The JSON library (segmentio, v0.5.4) corrupts memory where it reads a map from
+// strings to slices of strings: the garbage collector then ends the process, once in
+// some hundred runs of these tests and within seconds under a small heap.
+func TestNothingThatIsReadIsAMapOfStringSlices(t *testing.T) {
+	seen := map[reflect.Type]bool{}
+	var walk func(reflect.Type, string)
+	walk = func(typ reflect.Type, path string) {
+		if seen[typ] {
+			return
+		}
+		seen[typ] = true
+		switch typ.Kind() {
+		case reflect.Map:
+			if e := typ.Elem(); e.Kind() == reflect.Slice && e.Elem().Kind() == reflect.String {
+				t.Errorf("%s is %s", path, typ)
+			}
+			walk(typ.Elem(), path+"[]")
+		case reflect.Pointer, reflect.Slice, reflect.Array:
+			walk(typ.Elem(), path)
+		case reflect.Struct:
+			for i := range typ.NumField() {
+				walk(typ.Field(i).Type, path+"."+typ.Field(i).Name)
+			}
+		}
+	}
+	for _, v := range []any{PeerMsg{}, bulletin.Page{}, boardBeat{}, nodeKey{}, homeKey{}, mark{}, intent{}, recordKey{},
+		cancelMark{}, protocol.Report{}, protocol.Submission{}, protocol.MachineList{}, protocol.Catalogue{}, protocol.Changes{}, protocol.KeyList{}} {
+		walk(reflect.TypeOf(v), reflect.TypeOf(v).Name())
+	}
+	if len(seen) < 30 {
+		t.Errorf("only %d types were looked at", len(seen))
+	}
+}
