Keep machines for large tasks that starve behind small ones

A small task that found no room stood for all larger ones in the round, so that these kept no machine at all. One machine was kept for a round only, and smaller tasks of teams that came first filled it in the next. And controllers kept different ones, each filling what another kept.

Jobs older than the time-out now keep machines from round to round, the largest tasks first, up to half of the smallest type that holds them, the first by name on every controller. Urgent work takes the gaps beside them unless it has waited for a report interval. A job's wait is followed where its home is elsewhere.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"pepperlever/internal/core/job"
@@ -30,8 +31,11 @@
 	// Report is about how many bytes its report will have. A report may not be
 	// longer than a request, so a machine can't take any number of tiny tasks.
 	Report int
-	// Reserved is set while it is kept for a task that needs more room.
+	// Reserved is set while it is kept for a task that needs more room. KeptFor is
+	// what it was kept for in the round before, so that nothing that asks for less
+	// and comes first has its room.
 	Reserved bool
+	KeptFor  job.Resources
 }
 
 // longestReport leaves an eighth of a request for what a report says beside its
@@ -45,13 +49,18 @@
 	h.Report += protocol.TaskBytes(s.ID) + 6
 }
 
+// keptFrom tells whether the host is kept for a task that needs more than this one.
+func (h *Host) keptFrom(s *job.Spec) bool {
+	return h.KeptFor != (job.Resources{}) && !h.KeptFor.Fits(s.Need)
+}
+
 // Zones counts the tasks of a job that are bound in each zone.
 type Zones map[string]int
 
 // Allowed tells whether one more task of the job may go to a host, given where
 // its other tasks are.
 func Allowed(s *job.Spec, h *Host, zones Zones) bool {
-	if h.Reserved || h.Report > longestReport || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
+	if h.Reserved || h.Report > longestReport || h.keptFrom(s) || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
 		return false
 	}
 	if s.OneZone {
@@ -140,24 +149,44 @@
 // drained outweighs all other preferences.
 const drained = 8
 
-// Reserve keeps one host free of other tasks for a job that found no room, so
-// that smaller tasks do not take every gap before a large one opens. It is the
-// one that already has the most room.
-func Reserve(s *job.Spec, hosts []*Host) {
-	var best *Host
+// Reserve keeps up to n hosts free of other tasks for a job that found no room, so
+// that smaller tasks do not take every gap before a large one opens, and tells which.
+// They are the first of the smallest type that holds a task, full ones too: every
+// controller keeps the same ones, or each would fill what another keeps. No more than
+// a part of the hosts of a type is kept, for all jobs together.
+func Reserve(s *job.Spec, n int, hosts []*Host) []*Host {
+	able := func(h *Host) bool { return h.Lasts < 0 && s.Allows(h.Type, h.Zone, h.Spot) && s.Need.Fits(h.Size) }
+	size, all, kept := math.Inf(1), 0, 0
 	for _, h := range hosts {
-		if h.Reserved || h.Lasts >= 0 || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Size) {
-			continue
+		if able(h) {
+			size = min(size, h.Size.CPUs)
 		}
-		if best == nil || h.Room.CPUs > best.Room.CPUs {
-			best = h
+	}
+	for _, h := range hosts {
+		if h.Size.CPUs == size {
+			all++
+			if h.Reserved {
+				kept++
+			}
 		}
 	}
-	if best != nil {
-		best.Reserved = true
+	var out []*Host
+	for _, h := range hosts {
+		if len(out) == n || kept > 0 && float64(kept) >= mostReserved*float64(all) {
+			break
+		}
+		if able(h) && h.Size.CPUs == size && !h.Reserved {
+			kept++
+			h.Reserved = true
+			out = append(out, h)
+		}
 	}
+	return out
 }
 
+// mostReserved is the part of the hosts of a type that may be kept.
+const mostReserved = 1.0 / 2
+
 // Gang places n tasks of a job, all or none. The hosts' room is taken only if
 // all find a place.
 func Gang(s *job.Spec, n int, hosts []*Host, zones Zones) []*Host {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -61,10 +61,20 @@
 func TestLargeTaskIsNotStarvedBySmallOnes(t *testing.T) {
 	hosts := []*Host{host("m1", "a", 8), host("m2", "a", 8)}
 	hosts[0].Room.CPUs, hosts[1].Room.CPUs = 2, 4
-	Reserve(spec(8, 1), hosts)
-	if h := Choose(spec(1, 1), hosts, nil); h == nil || h.ID != "m1" {
+	if kept := Reserve(spec(8, 1), 2, hosts); len(kept) != 1 || kept[0].ID != "m1" {
+		t.Fatalf("kept %v, not the first of half of the hosts", kept)
+	}
+	if h := Choose(spec(1, 1), hosts, nil); h == nil || h.ID != "m2" {
+		t.Errorf("small task went to %v", h)
+	}
+	// In the next round it is kept before anything is placed, but for tasks as large.
+	hosts[0].Reserved, hosts[0].KeptFor, hosts[0].Room = false, spec(8, 1).Need, hosts[0].Size
+	if h := Choose(spec(1, 1), hosts, nil); h == nil || h.ID != "m2" {
 		t.Errorf("small task went to %v", h)
 	}
+	if h := Choose(spec(8, 1), hosts, nil); h == nil || h.ID != "m1" {
+		t.Errorf("large task went to %v", h)
+	}
 }
 
 func TestMachineAboutToLeaveTakesOnlyWhatEndsInTime(t *testing.T) {
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -192,9 +192,13 @@
 	if j == nil {
 		j = job.New(job.Spec{ID: id}, c.chunkSize(), c.now.Steady)
 	}
+	attempt := j.Attempt
 	if err := j.LoadHead(item.Value); err != nil {
 		return err
 	}
+	if j.Attempt > attempt {
+		j.WaitingSince = c.now.Steady // it got room, as its home knows
+	}
 	t := c.teamBy[j.Team]
 	if t == nil {
 		return nil
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -32,10 +32,20 @@
 	starved []*job.Job
 	// hosts is the room for the list of hosts, used again by each round.
 	hosts []placement.Host
+	// all lists the hosts of this round.
+	all []*placement.Host
 	// stuck holds what found no room in this round, cheap the hosts for work in
 	// idle time, short or not.
 	stuck stuck
-	cheap map[bool][]*placement.Host
+	// kept holds the needs for which a host is kept in this round, wanting what is
+	// older than the time-out and found no room.
+	kept    []job.Resources
+	wanting []fleet.Demand
+	// keptFor tells what hosts were kept for in the newest round, keptNeeds for
+	// which needs any was in the one before.
+	keptFor   map[string]job.Resources
+	keptNeeds map[job.Resources]bool
+	cheap     map[bool][]*placement.Host
 }
 
 func newSchedState() schedState {
@@ -139,7 +149,7 @@
 		}
 		h := placement.Host{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Size: k.size,
 			Room: k.size.Plus(c.boundLoad(m), -1), Images: m, Empty: !c.bound(id), Lasts: -1,
-			Penalty: float64(c.faults(m)), Report: c.reportBytes(m), Scale: k.scale, Dear: k.dear}
+			KeptFor: c.sched.keptFor[id], Penalty: float64(c.faults(m)), Report: c.reportBytes(m), Scale: k.scale, Dear: k.dear}
 		if m.NoticeAt > 0 {
 			h.Lasts = (m.NoticeAt - c.now.Steady).Seconds()
 		}
@@ -237,13 +247,23 @@
 	}
 	c.sched.next, c.sched.dirty = c.now.Steady+interval, false
 	c.sched.unplaced, c.sched.starved, c.sched.stuck, c.sched.cheap = nil, nil, nil, nil
+	c.sched.kept, c.sched.wanting = c.sched.kept[:0], nil
 	turns, ranked := c.turns()
 	if len(turns) == 0 {
 		return
 	}
+	if c.urgentWaits(turns) {
+		c.sched.keptFor = nil
+	}
 	hosts := c.hosts()
+	c.sched.all, c.sched.keptNeeds = hosts, map[job.Resources]bool{}
+	for _, need := range c.sched.keptFor {
+		c.sched.keptNeeds[need] = true
+	}
+	c.sched.keptFor = map[string]job.Resources{}
 	placement.Drain(hosts, c.policy.Spare)
 	c.place(turns, ranked, placement.Open(hosts))
+	c.keepHosts()
 	if len(c.sched.starved) > 0 {
 		c.preempt(hosts)
 	}
@@ -342,8 +362,9 @@
 func (c *Core) placeNext(u *turn, hosts []*placement.Host) (job.Resources, bool) {
 	for tier := u.jobs[0].Priority; len(u.jobs) > 0 && u.jobs[0].Priority == tier; {
 		j := u.jobs[0]
-		if c.sched.stuck.holds(j, c.cheapOnly(u, j)) {
+		if c.sched.stuck.holds(j, c.cheapOnly(u, j), c.sched.keptNeeds) {
 			c.unplaced(u, j, c.allowance(j))
+			c.wants(j, c.allowance(j))
 			u.jobs = u.jobs[1:]
 			continue
 		}
@@ -364,7 +385,7 @@
 			}
 			if !j.Suspected || !anyHolds(&j.Spec, hosts) {
 				c.unplaced(u, j, c.left(j, p))
-				placement.Reserve(&j.Spec, hosts)
+				c.wants(j, c.left(j, p))
 				c.sched.stuck.add(j, c.cheapOnly(u, j))
 			}
 		}
@@ -373,6 +394,53 @@
 	return job.Resources{}, false
 }
 
+// urgentWaits tells whether work above normal has found no room for a report interval.
+// Then it may have that of kept hosts. Otherwise it takes the gaps beside them, before
+// all others: taken everywhere, they left no room for large tasks anywhere.
+func (c *Core) urgentWaits(turns []*turn) bool {
+	return slices.ContainsFunc(turns, func(u *turn) bool {
+		return slices.ContainsFunc(u.jobs, func(j *job.Job) bool {
+			return j.AboveNormal() && !j.Suspected && c.now.Steady-j.WaitingSince > c.reportInterval()
+		})
+	})
+}
+
+// wants notes that a job found no room. The first with tasks of a size has a host kept
+// free of others at once, and one that is older than the time-out as many as it has
+// tasks for at the end of the round, unless it is work for idle time. The age goes by
+// the stored time of day, so that all controllers agree. One that asked for more than
+// another which was stuck used to get none at all, and large tasks starved behind small
+// ones, which take each gap before it is wide enough.
+func (c *Core) wants(j *job.Job, left int) {
+	if !lowest(j) && time.Duration(c.now.Wall-j.Accepted)*time.Millisecond >= seconds(c.policy.TimeoutS) {
+		c.sched.wanting = append(c.sched.wanting, fleet.Demand{Spec: &j.Spec, Tasks: left})
+	}
+	if as := func(kept job.Resources) bool { return j.Need.Fits(kept) }; !slices.ContainsFunc(c.sched.kept, as) {
+		c.keep(&j.Spec, 1)
+	}
+}
+
+// keepHosts keeps hosts for what is older than the time-out, the largest tasks first.
+func (c *Core) keepHosts() {
+	slices.SortStableFunc(c.sched.wanting, func(a, b fleet.Demand) int { return cmp.Compare(b.Spec.Need.CPUs, a.Spec.Need.CPUs) })
+	short := map[job.Resources]bool{}
+	for _, d := range c.sched.wanting {
+		if !short[d.Spec.Need] {
+			short[d.Spec.Need] = c.keep(d.Spec, d.Tasks) < d.Tasks
+		}
+	}
+}
+
+// keep keeps up to n hosts for tasks like those of s, and tells how many.
+func (c *Core) keep(s *job.Spec, n int) int {
+	hosts := placement.Reserve(s, n, c.sched.all)
+	for _, h := range hosts {
+		c.sched.kept = append(c.sched.kept, s.Need)
+		c.sched.keptFor[h.ID] = s.Need
+	}
+	return len(hosts)
+}
+
 // placeable checks the team's limit. Bindings that are not settled count. The
 // machines of bindings that are not stored yet stay within the conditions that
 // one transaction may have.
--- a/internal/core/stuck.go
+++ b/internal/core/stuck.go
@@ -33,9 +33,15 @@
 	}
 }
 
-// holds tells whether a job cannot find room either.
-func (s stuck) holds(j *job.Job, cheap bool) bool {
+// holds tells whether a job cannot find room either. The room on hosts that are kept
+// for tasks of its size, and not for those of the other, says nothing of it.
+func (s stuck) holds(j *job.Job, cheap bool, kept map[job.Resources]bool) bool {
 	return plainArray(j) && slices.ContainsFunc(s, func(o need) bool {
+		for k := range kept {
+			if k.Fits(j.Need) && !k.Fits(o.Need) {
+				return false
+			}
+		}
 		return (cheap || !o.cheap) && j.Spot == o.Spot && j.Zone == o.Zone && slices.Equal(j.Types, o.Types) &&
 			o.Need.Fits(j.Need) && j.EstimateS+j.SaveS >= o.EstimateS+o.SaveS
 	})
