Call a controller unhealthy while most peers have the state service

Two or three controllers cut from the state service together each took the other for the sign of an outage of all, stayed healthy, and answered their users 503 for as long as it lasted. It now takes half of the peers that are heard.

Ruled out: more than half of the peers, which a site of three controllers would take for an outage only when all three see it.

--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -323,3 +323,20 @@
 		t.Errorf("%s says %+v", home, s)
 	}
 }
+
+// Two controllers that were cut from the state service together took it for an outage
+// of all, and their users got 503 for as long as it lasted.
+func TestNodeIsUnhealthyWhileMostPeersHaveTheStateService(t *testing.T) {
+	for cut, healthy := range map[string]bool{"": true, "a": false, "ab": false, "abc": true, "abcd": true, "abcde": true} {
+		w := newWorldOf(t, five).ready()
+		w.run(10*time.Second, nil)
+		for _, n := range w.names {
+			w.send(n, StoreHealth{OK: !strings.Contains(cut, n)})
+		}
+		w.run(5*time.Second, nil)
+		got := w.ask("a", func(req uint64) Command { return Health{Req: req} }).Status == 200
+		if got != healthy {
+			t.Errorf("with %q cut off a is healthy: %v", cut, got)
+		}
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -288,16 +288,24 @@
 	})
 }
 
-// health tells the load balancer to look elsewhere when this node alone cannot
-// reach the state service. In an outage that a peer sees too it stays up, since
-// refusing at once serves users better than an empty list of nodes. A node that
-// hears neither the state service nor a peer takes itself to be cut off.
+// health tells the load balancer to look elsewhere when others can reach the state
+// service and this node cannot. In an outage that half of the peers that it hears see
+// too it stays up, since refusing at once serves users better than an empty list of
+// nodes: one of them was enough once, and two controllers that were cut off together
+// kept their users. A node that hears neither the state service nor a peer
+// takes itself to be cut off.
 func (c *Core) health(m Health) {
-	shared := len(c.peers) == 0
+	heard, down := 0, 0
 	for _, p := range c.peers {
-		shared = shared || !p.storeOK && c.now.Steady-p.seen < 2*c.reportInterval()
+		if c.now.Steady-p.seen < 2*c.reportInterval() {
+			heard++
+			if !p.storeOK {
+				down++
+			}
+		}
 	}
-	if !c.loaded || c.types == nil || !c.storeOK && !shared {
+	outage := len(c.peers) == 0 || down > 0 && 2*down >= heard
+	if !c.loaded || c.types == nil || !c.storeOK && !outage {
 		c.unavailable(m.Req)
 		return
 	}
