Keep what was decided on a cancelled job's starts while it is read again

A controller remembers which starts it has forwarded until the store no longer shows their bindings. A job that is not in the replica counted as ended when any final state of it was remembered, and a cancelled one is remembered as soon as its user asks. So a deposed controller that was reading everything again could forget a forwarded start, refuse the home's late message, and have the home end the binding of a running task.

Only done, or the removal of the job's head, counts now. The table fails on the cancelled row without the change.

--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pepperlever/internal/protocol"
 )
 
 // five are enough controllers for links to be cut in many ways.
@@ -326,3 +328,33 @@
 		}
 	}
 }
+
+// A decision on a start that was forwarded was forgotten where the job was cancelled
+// while this node was reading everything again: the home's message, if it came after
+// that, would have been refused although the task ran.
+func TestDecisionOnACancelledJobIsKeptWhileItIsReadAgain(t *testing.T) {
+	for name, k := range map[string]struct {
+		state string
+		gone  bool
+		kept  bool
+	}{
+		"not known":          {kept: true},
+		"cancelled":          {state: protocol.Cancelled, kept: true},
+		"cancelled and over": {state: protocol.Cancelled, gone: true},
+		"done":               {state: protocol.Done},
+	} {
+		c := newWorld(t).cores["a"]
+		c.revision, c.own["vm"] = 9, &control{term: 1}
+		c.decideOn(&Start{Machine: "vm", Task: "req-free-1/0", Attempt: 1, Term: 1, Revision: 5}, false)
+		if k.state != "" {
+			c.remember("req-free-1", protocol.JobState{ID: "req-free-1", State: k.state})
+		}
+		if k.gone {
+			c.gone("req-free-1", 8)
+		}
+		c.forgetDecisions()
+		if _, kept := c.decisionOn("vm", 1, taskAttempt{"req-free-1/0", 1}); kept != k.kept {
+			t.Errorf("%s: kept %v", name, kept)
+		}
+	}
+}
--- a/internal/core/decided.go
+++ b/internal/core/decided.go
@@ -5,6 +5,7 @@
 
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/worker"
+	"pepperlever/internal/protocol"
 )
 
 // decisions are what this node has decided on the starts of tasks that were bound
@@ -111,13 +112,13 @@
 }
 
 // settled tells whether the replica has a task's job as the store does, or knows that
-// the job has ended.
+// nothing of the job is bound any more. That its user has cancelled it says nothing of
+// the kind: its tasks run on until they are stopped.
 func (c *Core) settled(k taskAttempt) bool {
 	id, _, _ := job.SplitTask(k.task)
 	j := c.jobs[id]
 	if j == nil {
-		_, ended := c.finals[id]
-		return ended || c.goneAt[id] > 0
+		return c.finals[id].State == protocol.Done || c.goneAt[id] > 0
 	}
 	return !c.mine(j) || !j.Dirty() && !j.InFlight
 }
