Count tasks whose zone is not known as if they were in every zone of a service

Cause: after an end of all controllers a home knows a service's bindings at once, but the zones of their machines only once these report. Change: they count in every zone until it is known. For jobs that stay in one zone they already counted as elsewhere. Test: a row of the placement rules, failing before.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -57,6 +57,9 @@
 // Zones counts the tasks of a job that are bound in each zone.
 type Zones map[string]int
 
+// AnyZone counts the tasks on machines whose zone is not known.
+const AnyZone = "?"
+
 // Allowed tells whether one more task of the job may go to a host, given where
 // its other tasks are.
 func Allowed(s *job.Spec, h *Host, zones Zones) bool {
@@ -70,7 +73,9 @@
 			}
 		}
 	}
-	return !s.Spread || zones[h.Zone] < (s.Tasks+1)/2
+	// A task whose zone is not known may be in this one. Counted as being elsewhere, it let
+	// homes that had started over a moment ago put more than half of a service in a zone.
+	return !s.Spread || zones[h.Zone]+zones[AnyZone] < (s.Tasks+1)/2
 }
 
 // Suits tells whether one more task of the job may go to a host and is likely
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -38,6 +38,7 @@
 		"a zone that is not known":   {oneZone, host("m", "a", 4), Zones{"?": 1}, false},
 		"half, rounded up":           {spread, host("m", "a", 4), Zones{"a": 2}, true},
 		"more than half":             {spread, host("m", "a", 4), Zones{"a": 3}, false},
+		"perhaps more than half":     {spread, host("m", "a", 4), Zones{"a": 2, AnyZone: 1}, false},
 	} {
 		if got := Allowed(c.spec, c.host, c.zones); got != c.want {
 			t.Errorf("%s: got %v", name, got)
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -211,7 +211,7 @@
 		if m := c.machines[b.Machine]; m != nil {
 			p.zones[m.Zone]++
 		} else {
-			p.zones["?"]++ // a zone that is not known counts as another
+			p.zones[placement.AnyZone]++
 		}
 		if !b.Stored {
 			p.unstored[b.Machine] = true
