Let several pages of a bulletin fit into a transaction, and take turns

Cause: with values of 32 KiB a transaction took one page of a bulletin, always that with the sign of life, so that no page with machines was ever written. Change: a page has an eighth of a request at most, pages take turns after the first, and a controller known by its bulletin alone answers for its machines only once that names some.

--- a/internal/core/apart.go
+++ b/internal/core/apart.go
@@ -86,6 +86,25 @@
 	return r != nil && c.misses(node) && c.now.Steady-r.at < c.reportInterval()+2*c.boardInterval()
 }
 
+// accounts tells whether a controller's word on which machines it hears is at hand: of
+// one that is known by its bulletin alone, only once that names its machines.
+func (c *Core) accounts(node string) bool {
+	if c.hears(node) {
+		return true
+	}
+	r := c.apart.read[node]
+	return c.reaches(node) && r.namesMachines()
+}
+
+func (r *reading) namesMachines() bool {
+	for _, p := range r.pages {
+		if len(p.Machines) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // homeCut tells whether a job's home is another controller that this node is cut
 // from, so that this node has to act for it on the machines that it hears.
 func (c *Core) homeCut(j *job.Job) bool {
@@ -109,14 +128,25 @@
 	}
 	var want map[string]json.RawMessage
 	if apart {
-		want = bulletin.Pages(c.boardBeat(), c.facts(), c.heard(), int(c.cfg.Params.State.ValueKB*1024)*7/8)
+		want = bulletin.Pages(c.boardBeat(), c.facts(), c.heard(), c.pageSize())
 	}
 	c.publish(c.apart.board.Diff(want, c.pagesPerTxn()))
 }
 
+// pageSize is the most bytes that a page of a bulletin has. Several fit into one
+// transaction: where a value may be half as long as a request, the page with the sign
+// of life, which changes each time, took all of them, no machine was ever told of, and a
+// renter gave hundreds back as silent (docs/incidents/pages.md).
+func (c *Core) pageSize() int {
+	return min(int(c.cfg.Params.State.ValueKB*1024)*7/8, protocol.MaxBody*3/4/pagesAtOnce)
+}
+
+// pagesAtOnce is how many pages fit into a transaction whatever a value may have.
+const pagesAtOnce = 4
+
 // pagesPerTxn keeps a transaction of pages within the limits on changes and size.
 func (c *Core) pagesPerTxn() int {
-	return max(1, min(c.cfg.Params.State.TxnOps, c.valuesPerTxn()))
+	return max(2, min(c.cfg.Params.State.TxnOps, protocol.MaxBody*3/4/c.pageSize()))
 }
 
 // boardBeat is this node's sign of life for a bulletin; its number makes each unlike
--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -226,6 +227,36 @@
 	}
 }
 
+// Where a stored value may be half as long as a request, a bulletin's sign of life left
+// no room in a transaction for the pages that name machines: after a few seconds without
+// links a renter gave 710 of 897 machines back as silent (docs/incidents/pages.md).
+func TestMachinesAreKeptWithoutLinksHoweverLongValuesMayBe(t *testing.T) {
+	for _, kb := range []float64{4, 16, 32, 64} {
+		t.Run(fmt.Sprint(kb), func(t *testing.T) {
+			t.Parallel()
+			w := newWorldOf(t, five)
+			w.most = 30
+			for _, cfg := range w.cfg {
+				cfg.Params.State.ValueKB = kb
+			}
+			for i := range w.most {
+				w.addWorker(fmt.Sprintf("z%d", 1+i%2), false)
+			}
+			w.ready().run(10*time.Second, nil)
+			w.racing, w.taskTime = true, 10*time.Minute
+			accepted(t, w.submit("a", "req-free-1", 60, ""))
+			w.started("req-free-1", 60)
+			names := slices.Sorted(maps.Keys(w.workers))
+			w.refuse(everyLink)
+			w.run(40*time.Second, nil)
+			if now := slices.Sorted(maps.Keys(w.workers)); !slices.Equal(names, now) {
+				t.Errorf("of %d machines %d are left after 40 s without links", len(names), len(now))
+			}
+			w.startedOnce()
+		})
+	}
+}
+
 // Starts, ends and the room on machines used to travel by links alone: without them a
 // team had no more than the machines that its home happened to hear.
 func TestJobsOfAllTeamsEndWhileNoControllerHearsAnother(t *testing.T) {
--- a/internal/core/bulletin/bulletin.go
+++ b/internal/core/bulletin/bulletin.go
@@ -173,7 +173,11 @@
 }
 
 // Board follows which pages of this controller's bulletin the store holds.
-type Board struct{ stored map[string]json.RawMessage }
+type Board struct {
+	stored map[string]json.RawMessage
+	// last is the page that was written last, apart from the first page.
+	last string
+}
 
 // Empty tells whether nothing is stored.
 func (b *Board) Empty() bool { return len(b.stored) == 0 }
@@ -184,8 +188,9 @@
 	Value json.RawMessage
 }
 
-// Diff lists at most limit changes that bring the stored pages up to want, the first
-// page before all others.
+// Diff lists at most limit changes that bring the stored pages up to want: the first
+// page, and then the others in turn, or pages that change each time would keep the rest
+// from ever being written.
 func (b *Board) Diff(want map[string]json.RawMessage, limit int) []Change {
 	var out []Change
 	for _, name := range slices.Sorted(maps.Keys(want)) {
@@ -198,9 +203,21 @@
 			out = append(out, Change{Page: name})
 		}
 	}
+	slices.SortStableFunc(out, func(a, c Change) int { return cmp.Compare(b.turn(a.Page), b.turn(c.Page)) })
 	return out[:min(len(out), limit)]
 }
 
+// turn orders pages: the first page, those after the one written last, and the rest.
+func (b *Board) turn(page string) int {
+	switch {
+	case page == FirstPage:
+		return 0
+	case page > b.last:
+		return 1
+	}
+	return 2
+}
+
 // Stored notes that changes have been written, or may have been: in doubt they
 // are written again.
 func (b *Board) Stored(changes []Change, doubt bool) {
@@ -208,6 +225,9 @@
 		b.stored = map[string]json.RawMessage{}
 	}
 	for _, c := range changes {
+		if c.Page != FirstPage {
+			b.last = c.Page
+		}
 		switch {
 		case doubt:
 			b.stored[c.Page] = json.RawMessage{} // unlike any page
--- a/internal/core/bulletin/bulletin_test.go
+++ b/internal/core/bulletin/bulletin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
@@ -97,3 +98,34 @@
 		}
 	}
 }
+
+// The page with the sign of life is unlike the one before each time, and so may others
+// be. They must not keep the rest from being written: with one page in a transaction no
+// machine was ever told of, and a renter gave seven hundred back as silent.
+func TestPagesThatChangeEachTimeLeaveRoomForTheOthers(t *testing.T) {
+	machines := map[Kind][]string{{Type: "t", Zone: "a"}: {"vm-000001"}, {Type: "t", Zone: "b"}: {"vm-000002"}}
+	var facts []Fact
+	for n := range 60 {
+		facts = append(facts, Fact{Job: "req-000001", Index: n, Attempt: 1, Machine: "vm-000001", Why: "done"})
+	}
+	var board Board
+	stored := map[string]bool{}
+	for round := range 40 {
+		for n := range facts {
+			facts[n].Attempt = uint64(round + 1)
+		}
+		want := Pages(json.RawMessage(fmt.Sprintf(`{"n":%d}`, round)), facts, machines, 512)
+		changes := board.Diff(want, 2)
+		if changes[0].Page != FirstPage {
+			t.Fatalf("round %d: %s before the sign of life", round, changes[0].Page)
+		}
+		for _, c := range changes {
+			stored[c.Page] = true
+		}
+		board.Stored(changes, false)
+		if len(stored) == len(want) {
+			return
+		}
+	}
+	t.Errorf("of the pages only %v were ever written", slices.Sorted(maps.Keys(stored)))
+}
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -78,11 +78,11 @@
 	}
 }
 
-// everyoneReached tells whether this node has signs of life of every live controller; only
-// then is a machine's silence the machine's own.
+// everyoneReached tells whether this node knows of every live controller which machines
+// it hears; only then is a machine's silence the machine's own.
 func (c *Core) everyoneReached() bool {
 	for node := range c.nodes {
-		if !c.reaches(node) {
+		if !c.accounts(node) {
 			return false
 		}
 	}
