Set room aside for accelerator work and the next services; let gangs gather hosts

Change: machines with accelerators are kept, up to the peak of 10 to 20 leases, for work that asks for them; room for two of its largest jobs is kept for each class of services, and neither is returned as idle; idle accelerators weigh more than an image; a gang older than a time-out for each doubling of its size gathers hosts in one zone.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -112,7 +112,7 @@
 
 // fill puts as many of n like tasks on a host as it has room for.
 func fill(s *job.Spec, h *placement.Host, n int) int {
-	n = min(n, int(Fit(s.Need, h.Room)))
+	n = min(n, placement.Fit(s.Need, h.Room))
 	h.Room = h.Room.Plus(s.Need, -float64(n))
 	return n
 }
@@ -135,7 +135,7 @@
 		if counts[i] >= limit || s.Spot && d.Right < o.Dear || !s.Allows(o.Type.Name, o.Zone, o.Spot) || !s.Need.Fits(o.Size()) {
 			continue
 		}
-		price := o.Price() / math.Min(Fit(s.Need, o.Size()), float64(max(tasks, 1)))
+		price := o.Price() / float64(min(placement.Fit(s.Need, o.Size()), max(tasks, 1)))
 		// Of two offers of about the same price the smaller machine leaves the
 		// large ones to tasks that need them, and empties sooner.
 		if best >= 0 && o.Size().CPUs > offers[best].Size().CPUs {
@@ -147,14 +147,3 @@
 	}
 	return best
 }
-
-// Fit is how many like tasks fit on a machine.
-func Fit(need, size job.Resources) float64 {
-	n := 1e6
-	for _, r := range [][2]float64{{need.CPUs, size.CPUs}, {need.GPUs, size.GPUs}, {need.MemoryGB, size.MemoryGB}} {
-		if r[0] > 0 {
-			n = math.Min(n, math.Floor(r[1]/r[0]+1e-6))
-		}
-	}
-	return n
-}
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -164,7 +164,7 @@
 	for id, m := range ordered(c.machines) {
 		if !c.boundLoad(m).Fits(job.Resources{}) {
 			m.IdleSince = c.now.Steady
-		} else if c.now.Steady-m.IdleSince > c.idleTime(m) {
+		} else if c.now.Steady-m.IdleSince > c.idleTime(m) && !c.sched.aside.hosts[id] {
 			c.closeMachine(id, "idle")
 		}
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -28,6 +29,8 @@
 	Scale float64
 	// Dear is its price beyond that of the cheapest kind, up to 1.
 	Dear float64
+	// GPUShare is its accelerators relative to the type that has most.
+	GPUShare float64
 	// Report is about how many bytes its report will have. A report may not be
 	// longer than a request, so a machine can't take any number of tiny tasks.
 	Report int
@@ -36,6 +39,10 @@
 	// and comes first has its room.
 	Reserved bool
 	KeptFor  job.Resources
+	// ForGPUs is set while the host is for tasks that ask for accelerators alone,
+	// ForServices while it is for services, and HeldFor names the gang that gathers it.
+	ForGPUs, ForServices bool
+	HeldFor              string
 }
 
 // longestReport leaves an eighth of a request for what a report says beside its
@@ -54,6 +61,12 @@
 	return h.KeptFor != (job.Resources{}) && !h.KeptFor.Fits(s.Need)
 }
 
+// asideFrom tells whether the host is set aside for work of another kind.
+func (h *Host) asideFrom(s *job.Spec) bool {
+	return h.ForGPUs && s.Need.GPUs == 0 || h.ForServices && s.Kind != job.Service ||
+		h.HeldFor != "" && h.HeldFor != s.ID
+}
+
 // Zones counts the tasks of a job that are bound in each zone.
 type Zones map[string]int
 
@@ -63,7 +76,7 @@
 // Allowed tells whether one more task of the job may go to a host, given where
 // its other tasks are.
 func Allowed(s *job.Spec, h *Host, zones Zones) bool {
-	if h.Reserved || h.Report > longestReport || h.keptFrom(s) || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
+	if h.Reserved || h.Report > longestReport || h.keptFrom(s) || h.asideFrom(s) || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
 		return false
 	}
 	if s.OneZone {
@@ -117,9 +130,16 @@
 	if h.Empty {
 		out--
 	}
+	if s.Need.GPUs == 0 {
+		out -= wasteful * h.GPUShare
+	}
 	return out
 }
 
+// wasteful outweighs that an image is there: replicas that settled on accelerators
+// before the first job that needs them was known stayed there for the day.
+const wasteful = 2 * drained
+
 // imageWorth is what it is worth that a host has the image. Urgent work waits for
 // little else than its fetch, so it goes where the image is even to a host that
 // is drained.
@@ -160,7 +180,9 @@
 // controller keeps the same ones, or each would fill what another keeps. No more than
 // a part of the hosts of a type is kept, for all jobs together.
 func Reserve(s *job.Spec, n int, hosts []*Host) []*Host {
-	able := func(h *Host) bool { return h.Lasts < 0 && s.Allows(h.Type, h.Zone, h.Spot) && s.Need.Fits(h.Size) }
+	able := func(h *Host) bool {
+		return h.Lasts < 0 && s.Allows(h.Type, h.Zone, h.Spot) && s.Need.Fits(h.Size) && !h.asideFrom(s)
+	}
 	size, all, kept := math.Inf(1), 0, 0
 	for _, h := range hosts {
 		if able(h) {
@@ -192,6 +214,49 @@
 // mostReserved is the part of the hosts of a type that may be kept.
 const mostReserved = 1.0 / 2
 
+// Hold holds hosts with room for a gang of n tasks that finds none: in the zone where
+// most have room already, if as many could ever have, and no more than it needs. Since
+// nothing else takes them meanwhile, they only get more.
+func Hold(s *job.Spec, n int, hosts []*Host) {
+	free, able := map[string][]*Host{}, map[string]int{}
+	for _, h := range hosts {
+		zone := ""
+		if s.OneZone {
+			zone = h.Zone
+		}
+		if h.Lasts < 0 && s.Allows(h.Type, h.Zone, h.Spot) {
+			able[zone] += Fit(s.Need, h.Size)
+			if !h.Reserved && !h.keptFrom(s) && !h.asideFrom(s) && s.Need.Fits(h.Room) {
+				free[zone] = append(free[zone], h)
+			}
+		}
+	}
+	best, most := "", 0
+	for _, zone := range slices.Sorted(maps.Keys(free)) {
+		if able[zone] >= n && len(free[zone]) > most {
+			best, most = zone, len(free[zone])
+		}
+	}
+	for _, h := range free[best] {
+		if n <= 0 {
+			return
+		}
+		h.HeldFor = s.ID
+		n -= Fit(s.Need, h.Room)
+	}
+}
+
+// Fit is how many like tasks fit into room.
+func Fit(need, room job.Resources) int {
+	n := float64(job.MaxTasks)
+	for _, r := range [][2]float64{{need.CPUs, room.CPUs}, {need.GPUs, room.GPUs}, {need.MemoryGB, room.MemoryGB}} {
+		if r[0] > 0 {
+			n = math.Min(n, math.Floor(r[1]/r[0]+1e-6))
+		}
+	}
+	return int(max(0, n))
+}
+
 // Gang places n tasks of a job, all or none. The hosts' room is taken only if
 // all find a place.
 func Gang(s *job.Spec, n int, hosts []*Host, zones Zones) []*Host {
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -46,6 +46,7 @@
 	keptFor   map[string]job.Resources
 	keptNeeds map[job.Resources]bool
 	cheap     map[bool][]*placement.Host
+	aside     aside
 }
 
 func newSchedState() schedState {
@@ -110,8 +111,8 @@
 
 // kind is what all machines of one type, spot or ordinary, have in common.
 type kind struct {
-	size        job.Resources
-	dear, scale float64
+	size               job.Resources
+	dear, scale, accel float64
 }
 
 type kindKey struct {
@@ -120,16 +121,16 @@
 }
 
 func (c *Core) kinds() map[kindKey]kind {
-	largest, cheapest := 1.0, math.Inf(1)
+	largest, accel, cheapest := 1.0, 1.0, math.Inf(1)
 	for name, t := range c.types {
-		largest = max(largest, t.CPUs)
+		largest, accel = max(largest, t.CPUs), max(accel, t.GPUs)
 		cheapest = min(cheapest, c.pricePerCPU(name, true), c.pricePerCPU(name, false))
 	}
 	cheapest = max(cheapest, 1e-9)
 	out := make(map[kindKey]kind, 2*len(c.types))
 	for name, t := range c.types {
 		for _, spot := range []bool{true, false} {
-			out[kindKey{name, spot}] = kind{capacity(t), min(1, c.pricePerCPU(name, spot)/cheapest-1), t.CPUs / largest}
+			out[kindKey{name, spot}] = kind{capacity(t), min(1, c.pricePerCPU(name, spot)/cheapest-1), t.CPUs / largest, t.GPUs / accel}
 		}
 	}
 	return out
@@ -149,7 +150,7 @@
 		}
 		h := placement.Host{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Size: k.size,
 			Room: k.size.Plus(c.boundLoad(m), -1), Images: m, Empty: !c.bound(id), Lasts: -1,
-			KeptFor: c.sched.keptFor[id], Penalty: float64(c.faults(m)), Report: c.reportBytes(m), Scale: k.scale, Dear: k.dear}
+			KeptFor: c.sched.keptFor[id], Penalty: float64(c.faults(m)), Report: c.reportBytes(m), Scale: k.scale, Dear: k.dear, GPUShare: k.accel}
 		if m.NoticeAt > 0 {
 			h.Lasts = (m.NoticeAt - c.now.Steady).Seconds()
 		}
@@ -249,7 +250,7 @@
 	c.sched.unplaced, c.sched.starved, c.sched.stuck, c.sched.cheap = nil, nil, nil, nil
 	c.sched.kept, c.sched.wanting = c.sched.kept[:0], nil
 	turns, ranked := c.turns()
-	if len(turns) == 0 {
+	if !c.weighAside() && len(turns) == 0 {
 		return
 	}
 	if c.urgentWaits(turns) {
@@ -262,6 +263,8 @@
 	}
 	c.sched.keptFor = map[string]job.Resources{}
 	placement.Drain(hosts, c.policy.Spare)
+	c.setAside(hosts)
+	c.holdForGangs(turns, hosts)
 	c.place(turns, ranked, placement.Open(hosts))
 	c.keepHosts()
 	if len(c.sched.starved) > 0 {
@@ -287,7 +290,7 @@
 			continue
 		}
 		slices.SortFunc(u.jobs, func(a, b *job.Job) int {
-			return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(dueAt(a), dueAt(b)), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(c.turnAt(a), c.turnAt(b)), cmp.Compare(a.ID, b.ID))
 		})
 		turns = append(turns, u)
 		ranked = append(ranked, fairness.Team{Record: t.ranked, Weight: max(weights[i], 1), Overdue: overdue})
@@ -295,6 +298,15 @@
 	return turns, ranked
 }
 
+// turnAt orders jobs of a priority: by when they would have to start, and gangs
+// without a deadline by when they begin to gather hosts.
+func (c *Core) turnAt(j *job.Job) int64 {
+	if j.Kind == job.Gang && j.DeadlineS == 0 {
+		return c.holdsFrom(j)
+	}
+	return dueAt(j)
+}
+
 // dueAt is the time of day at which a job would have to start to be in time.
 func dueAt(j *job.Job) int64 { return j.Accepted + slack(j) }
 
@@ -412,6 +424,9 @@
 // another which was stuck used to get none at all, and large tasks starved behind small
 // ones, which take each gap before it is wide enough.
 func (c *Core) wants(j *job.Job, left int) {
+	if j.Kind == job.Gang {
+		return // holdForGangs gathers them
+	}
 	if !lowest(j) && time.Duration(c.now.Wall-j.Accepted)*time.Millisecond >= seconds(c.policy.TimeoutS) {
 		c.sched.wanting = append(c.sched.wanting, fleet.Demand{Spec: &j.Spec, Tasks: left})
 	}
--- a/internal/core/stuck.go
+++ b/internal/core/stuck.go
@@ -42,7 +42,8 @@
 				return false
 			}
 		}
-		return (cheap || !o.cheap) && j.Spot == o.Spot && j.Zone == o.Zone && slices.Equal(j.Types, o.Types) &&
+		// Room with accelerators may be set aside for what asks for them.
+		return (cheap || !o.cheap) && (j.Need.GPUs > 0) == (o.Need.GPUs > 0) && j.Spot == o.Spot && j.Zone == o.Zone && slices.Equal(j.Types, o.Types) &&
 			o.Need.Fits(j.Need) && j.EstimateS+j.SaveS >= o.EstimateS+o.SaveS
 	})
 }
