Keep room for services where each of their images is; move replicas off accelerators

Cause: starts of replicas were sent within 0.25 s of their job's acceptance, but a host without the image needs 5 s to fetch it; and 63 replicas that had come before the first gang held 7 of 53 machines that gangs need. Change: room for one of a class's largest jobs is kept for each of its images where that image is; while accelerator work finds no room the replicas on its machines are moved, one machine in a report interval.

--- a/internal/core/aside.go
+++ b/internal/core/aside.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -26,6 +27,8 @@
 	images   map[string]map[string]bool
 	// hosts are the machines that were set aside in the newest round.
 	hosts map[string]bool
+	// short is set while accelerator work finds no room.
+	short bool
 }
 
 // peakLeases is the window of the peak of accelerator work, in leases of a worker.
@@ -89,7 +92,7 @@
 // setAside marks the hosts that are set aside in this round.
 func (c *Core) setAside(hosts []*placement.Host) {
 	a := &c.sched.aside
-	a.hosts = map[string]bool{}
+	a.hosts, a.short = map[string]bool{}, false
 	for t, n := range ordered(a.wanted) {
 		c.setAsideGPUs(t, n, hosts)
 	}
@@ -121,42 +124,80 @@
 	}
 }
 
-// setAsideServices keeps room for the next replicas of a class, in every zone and where
-// most of their images are, and asks for machines where there is too little.
+// setAsideServices keeps room for the next replicas of a class: for one of its largest
+// jobs of each image where that image is, since a replica has no time to fetch one, and
+// for two in all. It asks for machines where there is too little.
 func (c *Core) setAsideServices(s *headroom.Class, images map[string]bool, hosts []*placement.Host) {
-	zones := map[string][]*placement.Host{}
-	has := map[*placement.Host]int{}
+	var able []*placement.Host
 	for _, h := range hosts {
 		if !h.ForGPUs && h.Lasts < 0 && s.Spec.Allows(h.Type, h.Zone, h.Spot) && s.Spec.Need.Fits(h.Room) {
-			for image := range images {
-				if h.Images.HasImage(image) {
-					has[h]++
-				}
-			}
-			zones[h.Zone] = append(zones[h.Zone], h)
+			able = append(able, h)
 		}
 	}
-	for _, of := range zones {
-		slices.SortStableFunc(of, func(a, b *placement.Host) int { return cmp.Compare(has[b], has[a]) })
+	for _, image := range slices.Sorted(maps.Keys(images)) {
+		c.keepRoom(s.Spec, min(s.Largest, s.Spare()), slices.DeleteFunc(slices.Clone(able), func(h *placement.Host) bool { return !h.Images.HasImage(image) }))
+	}
+	if left := c.keepRoom(s.Spec, s.Spare(), able); left > 0 {
+		c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: s.Spec, Tasks: left, Right: fleet.Guaranteed})
+	}
+}
+
+// keepRoom sets hosts aside for n services, from every zone in turn, and tells for how
+// many there are none. Hosts that are set aside already count.
+func (c *Core) keepRoom(s *job.Spec, n int, hosts []*placement.Host) int {
+	zones := map[string][]*placement.Host{}
+	for _, h := range hosts {
+		if h.ForServices {
+			n -= placement.Fit(s.Need, h.Room)
+		} else {
+			zones[h.Zone] = append(zones[h.Zone], h)
+		}
 	}
-	left := s.Spare()
-	for n := 0; left > 0; n++ {
-		found := false
+	for i, found := 0, true; found && n > 0; i++ {
+		found = false
 		for _, of := range ordered(zones) {
-			if n < len(of) && left > 0 {
+			if i < len(of) && n > 0 {
 				found = true
-				of[n].ForServices = true
-				c.sched.aside.hosts[of[n].ID] = true
-				left -= placement.Fit(s.Spec.Need, of[n].Room)
+				of[i].ForServices = true
+				c.sched.aside.hosts[of[i].ID] = true
+				n -= placement.Fit(s.Need, of[i].Room)
 			}
 		}
-		if !found {
-			break
-		}
 	}
-	if left > 0 {
-		c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: s.Spec, Tasks: left, Right: fleet.Guaranteed})
+	return n
+}
+
+// vacate moves the replicas of one host at a time off the hosts that are set aside for
+// accelerator work, while such work waits and there is room for them elsewhere. They
+// had settled there before anything that needs the accelerators was known.
+func (c *Core) vacate(hosts []*placement.Host) {
+	if !c.sched.aside.short || !c.every(&c.timers.vacate, c.reportInterval()) {
+		return
 	}
+	for _, h := range hosts {
+		if !h.ForGPUs || h.Room.GPUs < h.Size.GPUs {
+			continue
+		}
+		moved := false
+		c.eachMine(h.ID, func(ref job.Ref, b *job.Binding) bool { return c.movable(ref, b) }, func(j *job.Job, i int, b *job.Binding) {
+			if to := placement.Choose(&j.Spec, hosts, c.zonesOf(j)); to != nil {
+				to.Take(&j.Spec)
+				c.log(Debug, "replica moved off accelerators", "task", j.TaskID(i), "machine", h.ID)
+				c.stop(j, i, b, 0)
+				moved = true
+			}
+		})
+		if moved {
+			return
+		}
+	}
+}
+
+// movable tells whether a task is a replica that has run for a while.
+func (c *Core) movable(ref job.Ref, b *job.Binding) bool {
+	m := c.machines[b.Machine]
+	return ref.Job.Kind == job.Service && ref.Job.Need.GPUs == 0 && m != nil &&
+		m.Ran(ref.Job.TaskID(ref.Index), b.Attempt, c.now.Steady) > seconds(c.policy.TimeoutS)
 }
 
 // holdForGangs lets gangs whose patience is over, the longest first, gather hosts: what
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,7 +88,7 @@
 
 // timers hold the next time of each periodic duty.
 type timers struct {
-	last, beat, share, gossip, short, spread, record, homes, settle, fleet, forget, catalog, list time.Duration
+	last, beat, share, gossip, short, spread, record, homes, settle, fleet, forget, catalog, list, vacate time.Duration
 }
 
 // team is the state of one team, whoever is its home.
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -206,14 +206,9 @@
 	if p := u.plans[j.ID]; p != nil {
 		return p
 	}
-	p := &plan{zones: placement.Zones{}, unstored: map[string]bool{}, picker: placement.NewPicker(&j.Spec, unfailed(j, c.meantFor(u, j, hosts)))}
+	p := &plan{zones: c.zonesOf(j), unstored: map[string]bool{}, picker: placement.NewPicker(&j.Spec, unfailed(j, c.meantFor(u, j, hosts)))}
 	u.plans[j.ID] = p
 	for _, b := range j.Bound {
-		if m := c.machines[b.Machine]; m != nil {
-			p.zones[m.Zone]++
-		} else {
-			p.zones[placement.AnyZone]++
-		}
 		if !b.Stored {
 			p.unstored[b.Machine] = true
 		}
@@ -221,6 +216,19 @@
 	return p
 }
 
+// zonesOf counts the bound tasks of a job by zone.
+func (c *Core) zonesOf(j *job.Job) placement.Zones {
+	out := placement.Zones{}
+	for _, b := range j.Bound {
+		if m := c.machines[b.Machine]; m != nil {
+			out[m.Zone]++
+		} else {
+			out[placement.AnyZone]++
+		}
+	}
+	return out
+}
+
 // unfailed leaves out the hosts that a job has failed on since it last
 // succeeded, unless there is no other.
 func unfailed(j *job.Job, hosts []*placement.Host) []*placement.Host {
@@ -267,6 +275,7 @@
 	c.holdForGangs(turns, hosts)
 	c.place(turns, ranked, placement.Open(hosts))
 	c.keepHosts()
+	c.vacate(hosts)
 	if len(c.sched.starved) > 0 {
 		c.preempt(hosts)
 	}
@@ -468,6 +477,7 @@
 
 // unplaced notes demand of n tasks for the renting of machines, up to the team's limit.
 func (c *Core) unplaced(u *turn, j *job.Job, n int) {
+	c.sched.aside.short = c.sched.aside.short || j.Need.GPUs > 0
 	right := c.rightOf(u, j)
 	used := u.used
 	fit := 0
