Stop arrays for services that find no room, and let arrays end where room for services is short

Cause: replicas waited up to 100 s on troubles for the ends of array tasks; a gap that one of them leaves is too narrow for a replica and filled by the next at once, so room was never gathered for services once it was lost. Change: arrays of lower priority yield to services as work for idle time does; where room for services is short, hosts on which arrays have to end are set aside too. A replica that is moved no longer counts in the zone that it leaves.

--- a/internal/core/aside.go
+++ b/internal/core/aside.go
@@ -124,33 +124,72 @@
 	}
 }
 
-// setAsideServices keeps room for the next replicas of a class: for one of its largest
-// jobs of each image where that image is, since a replica has no time to fetch one, and
-// for two in all. It asks for machines where there is too little.
+// setAsideServices keeps room for the next replicas of a class: for two of its largest
+// jobs, and for one of each image where that image is, since a replica has no time to
+// fetch one. Only where there is too little are arrays left to end for it, and machines
+// asked for.
 func (c *Core) setAsideServices(s *headroom.Class, images map[string]bool, hosts []*placement.Host) {
-	var able []*placement.Host
-	for _, h := range hosts {
-		if !h.ForGPUs && h.Lasts < 0 && s.Spec.Allows(h.Type, h.Zone, h.Spot) && s.Spec.Need.Fits(h.Room) {
-			able = append(able, h)
+	able := c.rooms(s.Spec, hosts)
+	now := slices.DeleteFunc(slices.Clone(able), func(r room) bool { return r.ending > 0 })
+	perImage := func(rooms []room) {
+		for _, image := range slices.Sorted(maps.Keys(images)) {
+			c.keepRoom(min(s.Largest, s.Spare()), slices.DeleteFunc(slices.Clone(rooms), func(r room) bool { return !r.host.Images.HasImage(image) }))
 		}
 	}
-	for _, image := range slices.Sorted(maps.Keys(images)) {
-		c.keepRoom(s.Spec, min(s.Largest, s.Spare()), slices.DeleteFunc(slices.Clone(able), func(h *placement.Host) bool { return !h.Images.HasImage(image) }))
-	}
-	if left := c.keepRoom(s.Spec, s.Spare(), able); left > 0 {
+	perImage(now)
+	left := c.keepRoom(s.Spare(), now)
+	perImage(able)
+	if left > 0 {
+		c.keepRoom(s.Spare(), able)
 		c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: s.Spec, Tasks: left, Right: fleet.Guaranteed})
 	}
 }
 
-// keepRoom sets hosts aside for n services, from every zone in turn, and tells for how
-// many there are none. Hosts that are set aside already count.
-func (c *Core) keepRoom(s *job.Spec, n int, hosts []*placement.Host) int {
-	zones := map[string][]*placement.Host{}
+// room is a host with room for some services, now or once the arrays on it have ended,
+// which take ending CPUs.
+type room struct {
+	host   *placement.Host
+	slots  int
+	ending float64
+}
+
+// rooms lists the hosts that services may be kept room on, those that have it now first.
+func (c *Core) rooms(s *job.Spec, hosts []*placement.Host) []room {
+	var out []room
 	for _, h := range hosts {
-		if h.ForServices {
-			n -= placement.Fit(s.Need, h.Room)
+		if h.ForGPUs || h.Lasts >= 0 || !s.Allows(h.Type, h.Zone, h.Spot) {
+			continue
+		}
+		r := room{host: h, slots: placement.Fit(s.Need, h.Room)}
+		if load := c.ledger.On(h.ID); r.slots == 0 && load != nil {
+			free := h.Room
+			for ref := range load.Tasks {
+				if ref.Job.Kind == job.Array {
+					free = free.Plus(ref.Job.Need, 1)
+					r.ending += ref.Job.Need.CPUs
+				}
+			}
+			r.slots = placement.Fit(s.Need, free)
+		}
+		if r.slots > 0 {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b room) int { return cmp.Compare(a.ending, b.ending) })
+	return out
+}
+
+// keepRoom sets hosts aside for n services, from every zone in turn, and tells for how
+// many there are none. Hosts that are set aside already count. Arrays on a host are left
+// to end, and none comes in their place: each gap that they leave is too narrow for a
+// replica, so that waiting for a wide one kept nothing.
+func (c *Core) keepRoom(n int, rooms []room) int {
+	zones := map[string][]room{}
+	for _, r := range rooms {
+		if r.host.ForServices {
+			n -= r.slots
 		} else {
-			zones[h.Zone] = append(zones[h.Zone], h)
+			zones[r.host.Zone] = append(zones[r.host.Zone], r)
 		}
 	}
 	for i, found := 0, true; found && n > 0; i++ {
@@ -158,9 +197,9 @@
 		for _, of := range ordered(zones) {
 			if i < len(of) && n > 0 {
 				found = true
-				of[i].ForServices = true
-				c.sched.aside.hosts[of[i].ID] = true
-				n -= placement.Fit(s.Need, of[i].Room)
+				of[i].host.ForServices = true
+				c.sched.aside.hosts[of[i].host.ID] = true
+				n -= of[i].slots
 			}
 		}
 	}
@@ -178,10 +217,16 @@
 		if !h.ForGPUs || h.Room.GPUs < h.Size.GPUs {
 			continue
 		}
+		zones := map[string]placement.Zones{}
 		moved := false
 		c.eachMine(h.ID, func(ref job.Ref, b *job.Binding) bool { return c.movable(ref, b) }, func(j *job.Job, i int, b *job.Binding) {
-			if to := placement.Choose(&j.Spec, hosts, c.zonesOf(j)); to != nil {
+			if zones[j.ID] == nil {
+				zones[j.ID] = c.zonesOf(j)
+			}
+			zones[j.ID][h.Zone]--
+			if to := placement.Choose(&j.Spec, hosts, zones[j.ID]); to != nil {
 				to.Take(&j.Spec)
+				zones[j.ID][to.Zone]++
 				c.log(Debug, "replica moved off accelerators", "task", j.TaskID(i), "machine", h.ID)
 				c.stop(j, i, b, 0)
 				moved = true
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -61,8 +61,8 @@
 	return h.KeptFor != (job.Resources{}) && !h.KeptFor.Fits(s.Need)
 }
 
-// asideFrom tells whether the host is set aside for work of another kind.
-func (h *Host) asideFrom(s *job.Spec) bool {
+// AsideFrom tells whether the host is set aside for work of another kind.
+func (h *Host) AsideFrom(s *job.Spec) bool {
 	return h.ForGPUs && s.Need.GPUs == 0 || h.ForServices && s.Kind != job.Service ||
 		h.HeldFor != "" && h.HeldFor != s.ID
 }
@@ -76,19 +76,24 @@
 // Allowed tells whether one more task of the job may go to a host, given where
 // its other tasks are.
 func Allowed(s *job.Spec, h *Host, zones Zones) bool {
-	if h.Reserved || h.Report > longestReport || h.keptFrom(s) || h.asideFrom(s) || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
+	if h.Reserved || h.Report > longestReport || h.keptFrom(s) || h.AsideFrom(s) || !s.Allows(h.Type, h.Zone, h.Spot) || !s.Need.Fits(h.Room) {
 		return false
 	}
+	return InZone(s, h.Zone, zones)
+}
+
+// InZone tells whether one more task of the job may go to a zone.
+func InZone(s *job.Spec, zone string, zones Zones) bool {
 	if s.OneZone {
 		for z, n := range zones {
-			if n > 0 && z != h.Zone {
+			if n > 0 && z != zone {
 				return false
 			}
 		}
 	}
 	// A task whose zone is not known may be in this one. Counted as being elsewhere, it let
 	// homes that had started over a moment ago put more than half of a service in a zone.
-	return !s.Spread || zones[h.Zone]+zones[AnyZone] < (s.Tasks+1)/2
+	return !s.Spread || zones[zone]+zones[AnyZone] < (s.Tasks+1)/2
 }
 
 // Suits tells whether one more task of the job may go to a host and is likely
@@ -181,7 +186,7 @@
 // a part of the hosts of a type is kept, for all jobs together.
 func Reserve(s *job.Spec, n int, hosts []*Host) []*Host {
 	able := func(h *Host) bool {
-		return h.Lasts < 0 && s.Allows(h.Type, h.Zone, h.Spot) && s.Need.Fits(h.Size) && !h.asideFrom(s)
+		return h.Lasts < 0 && s.Allows(h.Type, h.Zone, h.Spot) && s.Need.Fits(h.Size) && !h.AsideFrom(s)
 	}
 	size, all, kept := math.Inf(1), 0, 0
 	for _, h := range hosts {
@@ -226,7 +231,7 @@
 		}
 		if h.Lasts < 0 && s.Allows(h.Type, h.Zone, h.Spot) {
 			able[zone] += Fit(s.Need, h.Size)
-			if !h.Reserved && !h.keptFrom(s) && !h.asideFrom(s) && s.Need.Fits(h.Room) {
+			if !h.Reserved && !h.keptFrom(s) && !h.AsideFrom(s) && s.Need.Fits(h.Room) {
 				free[zone] = append(free[zone], h)
 			}
 		}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -21,7 +22,8 @@
 
 // preempt makes room for jobs that found none, where the users' rules allow it.
 // Work of the lowest priority always yields: it is for idle time, and its long
-// tasks would hold the large machines that others wait for. Any other is stopped
+// tasks would hold the large machines that others wait for. So do arrays to services of
+// higher priority, which wait for nothing else and stay. Any other is stopped
 // only where the operator asks for it. No more work is lost than room is made for.
 func (c *Core) preempt(hosts []*placement.Host) {
 	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool { return h.Lasts >= 0 || !c.yields(h.ID) })
@@ -29,19 +31,19 @@
 		if j.Kind == job.Gang || c.now.Steady-j.WaitingSince < c.patience(j) || c.now.Steady-j.PreemptedAt < c.patience(j) {
 			continue
 		}
-		for range min(c.allowance(j), len(hosts)) {
-			at, best := c.cheapest(j, hosts)
-			if best == nil {
-				break
-			}
-			j.PreemptedAt = c.now.Steady
-			for _, v := range best {
+		taken := map[*placement.Host]bool{}
+		for _, o := range c.cheapest(j, hosts) {
+			taken[o.host] = true
+			for _, v := range o.victims {
 				c.log(Debug, "task stopped to make room", "task", v.job.TaskID(v.index), "machine", v.binding.Machine, "for", j.ID)
 				v.binding.StopSent = c.now.Steady
 				c.sendStop(v.job, v.index, v.binding, v.job.SaveS)
 			}
-			hosts = slices.Delete(hosts, at, at+1)
 		}
+		if len(taken) > 0 || j.Kind == job.Service {
+			j.PreemptedAt = c.now.Steady
+		}
+		hosts = slices.DeleteFunc(hosts, func(h *placement.Host) bool { return taken[h] })
 	}
 }
 
@@ -56,7 +58,7 @@
 
 // yields tells whether anything on a machine may be stopped.
 func (c *Core) yields(machine string) bool {
-	return c.anyOn(machine, func(j *job.Job) bool { return c.policy.Preemption || lowest(j) })
+	return c.anyOn(machine, func(j *job.Job) bool { return c.policy.Preemption || j.Kind == job.Array && !j.AboveNormal() })
 }
 
 // yielding lists the machines with work for idle time, with the room there would
@@ -84,18 +86,39 @@
 	return out
 }
 
-// cheapest finds the host where room for a task of j costs the least work, and
-// what has to be stopped there.
-func (c *Core) cheapest(j *job.Job, hosts []*placement.Host) (at int, best []victim) {
-	least := j.Need.CPUs * j.EstimateS
-	for i, h := range hosts {
-		if m := c.machines[h.ID]; m != nil && j.Allows(h.Type, h.Zone, h.Spot) && j.Need.Fits(h.Size) {
-			if out, loss := c.victims(j, h, m); out != nil && loss < least {
-				at, best, least = i, out, loss
+// opening is a host on which room can be made for one task, and what that takes.
+type opening struct {
+	host    *placement.Host
+	victims []victim
+	loss    float64
+}
+
+// cheapest finds the hosts where room for the waiting tasks of j costs the least work,
+// no more of them in a zone than may be there.
+func (c *Core) cheapest(j *job.Job, hosts []*placement.Host) []opening {
+	most := j.Need.CPUs * j.EstimateS
+	if j.Kind == job.Service {
+		most = math.Inf(1)
+	}
+	var all []opening
+	for _, h := range hosts {
+		if m := c.machines[h.ID]; m != nil && j.Allows(h.Type, h.Zone, h.Spot) && j.Need.Fits(h.Size) && !h.AsideFrom(&j.Spec) {
+			if out, loss := c.victims(j, h, m); out != nil && loss < most {
+				all = append(all, opening{h, out, loss})
 			}
 		}
 	}
-	return at, best
+	slices.SortStableFunc(all, func(a, b opening) int { return cmp.Compare(a.loss, b.loss) })
+	var out []opening
+	zones, left := c.zonesOf(j), c.allowance(j)
+	for _, o := range all {
+		if left > 0 && placement.InZone(&j.Spec, o.host.Zone, zones) {
+			zones[o.host.Zone]++
+			left--
+			out = append(out, o)
+		}
+	}
+	return out
 }
 
 // victims lists the tasks on a machine that would have to be stopped for one
@@ -133,7 +156,7 @@
 func (c *Core) mayStop(j, v *job.Job) bool {
 	switch {
 	case v.Priority > j.Priority:
-		return c.policy.Preemption || lowest(v)
+		return c.policy.Preemption || lowest(v) || j.Kind == job.Service && !v.AboveNormal()
 	case !c.policy.Preemption:
 		return false
 	}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -74,6 +74,8 @@
 	most  int
 	// taskTime is how long a task runs.
 	taskTime time.Duration
+	// types is the cloud's catalogue.
+	types []protocol.MachineType
 	// refused holds the links between controllers over which nothing passes, frozen
 	// the controllers that stand still, unreached the workers without a network.
 	refused map[link]bool
@@ -133,6 +135,9 @@
 		deaf: map[string]bool{}, redirected: map[string]int{},
 		cfg: map[string]*settings.Settings{}, names: names, most: 40, taskTime: 5 * time.Second,
 		refused: map[link]bool{}, slow: map[link]bool{}, late: map[link][]PeerMsg{}, frozen: map[string]bool{}, unreached: map[string]bool{}, told: map[string]time.Duration{}}
+	w.types = []protocol.MachineType{
+		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"z1", "z2"}},
+	}
 	for _, n := range names {
 		w.boot(n)
 	}
@@ -323,9 +328,7 @@
 		}
 		w.deliver(node, e)
 	case FetchCatalog:
-		w.send(node, CatalogIn{Types: []protocol.MachineType{
-			{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"z1", "z2"}},
-		}})
+		w.send(node, CatalogIn{Types: w.types})
 	case FetchList:
 		w.list(node)
 	case Rent:
@@ -335,7 +338,9 @@
 		}
 		var names []string
 		for range e.Rental.Count {
-			names = append(names, w.addWorker(e.Rental.Zone, e.Rental.Spot))
+			id := w.addWorker(e.Rental.Zone, e.Rental.Spot)
+			w.workers[id].Type = e.Rental.Type
+			names = append(names, id)
 		}
 		w.send(node, Rented{Rental: e.Rental, Outcome: Applied, Machines: names})
 	case Release:
@@ -578,11 +583,37 @@
 	if s, ok := w.state(id); ok && !w.racing {
 		w.t.Errorf("%v: %s starts although its job is %s", w.now, task, s.State)
 	}
+	w.checkSpread(f, id)
 	if used := w.inUse("red"); used > 16+1e-6 {
 		w.t.Errorf("%v: team red uses %v CPUs", w.now, used)
 	}
 }
 
+// checkSpread checks that no more than half of a job that is to be spread is in the
+// zone of a machine that takes one more of its tasks.
+func (w *world) checkSpread(f *fakeWorker, id string) {
+	var j *job.Job
+	for _, c := range w.cores {
+		if j == nil && c != nil {
+			j = c.jobs[id]
+		}
+	}
+	if j == nil || !j.Spread {
+		return
+	}
+	there := 1
+	for _, g := range w.workers {
+		for _, t := range g.Tasks {
+			if g.Zone == f.Zone && !g.dead && strings.HasPrefix(t.Task, id+"/") && t.State != protocol.Exited {
+				there++
+			}
+		}
+	}
+	if there > (j.Tasks+1)/2 {
+		w.t.Errorf("%v: %d of %d tasks of %s are in zone %s", w.now, there, j.Tasks, id, f.Zone)
+	}
+}
+
 // checkCancelled checks that what a user was told is cancelled has gone in time.
 func (w *world) checkCancelled() {
 	for id, at := range w.told {
