Notice machines that hear nothing, take no late copies, and send a lonely controller's workers on

Need: three more troubles (a machine's reports arrive and nothing reaches it; copies of reports come minutes late; a controller has its workers only). What did not hold: a machine that hears nothing looked alive and got tasks again and again; a copy moved a worker to whoever got it, took the session back, and brought a machine back that was gone; the machines of a lonely controller were given back with all that ran on them. Change: two answers in a row that a machine's own reports show as lost make it deaf until one arrives: no new tasks, no worker sent on, given back after two leases. A report that is not newer than the one known changes nothing and gets no commands. A controller without store and peers sends each worker on once, if machines of two zones reach it.

--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -117,6 +117,9 @@
 // heal ends all troubles.
 func (w *world) heal() {
 	w.restore()
+	clear(w.unhearing)
+	clear(w.unheardBy)
+	w.copying = false
 	for _, n := range w.names {
 		if w.cores[n] == nil {
 			w.boot(n)
@@ -185,7 +188,7 @@
 		}
 	}
 	hurt := sound > 2 && w.cores[node] != nil && !w.cut[node] && !w.frozen[node]
-	switch what := w.rng.IntN(10); {
+	switch what := w.rng.IntN(15); {
 	case what == 0:
 		w.refuse(everyLink)
 	case what == 1:
@@ -207,6 +210,22 @@
 		w.hold(func(f, t string) bool { return f == node && t == other })
 	case what == 9:
 		w.unreached[fmt.Sprintf("vm-%06d", 1+w.rng.IntN(60))] = true
+	case what == 10: // a fifth of all machines hear nothing
+		for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+			w.unhearing[id] = w.unhearing[id] || w.rng.IntN(5) == 0
+		}
+	case what == 11: // half of them hear one controller no more
+		for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+			w.unheardBy[link{node, id}] = w.rng.IntN(2) == 0
+		}
+	case what == 12:
+		w.copying = true
+	case what == 13 && hurt: // it has its workers only
+		w.noStore(node)
+		w.refuse(func(f, t string) bool { return f == node || t == node })
+	case what == 14 && w.cores[node] != nil && !w.cut[node] && !w.frozen[node]: // back before anyone misses it
+		w.crash(node)
+		w.boot(node)
 	}
 }
 
--- a/internal/core/aside.go
+++ b/internal/core/aside.go
@@ -129,22 +129,39 @@
 // fetch one. Only where there is too little are arrays left to end for it, and machines
 // asked for.
 func (c *Core) setAsideServices(s *headroom.Class, images map[string]bool, hosts []*placement.Host) {
+	spare := s.Spare() + c.misplaced(s.Spec.Class, hosts)
 	able := c.rooms(s.Spec, hosts)
 	now := slices.DeleteFunc(slices.Clone(able), func(r room) bool { return r.ending > 0 })
 	perImage := func(rooms []room) {
 		for _, image := range slices.Sorted(maps.Keys(images)) {
-			c.keepRoom(min(s.Largest, s.Spare()), slices.DeleteFunc(slices.Clone(rooms), func(r room) bool { return !r.host.Images.HasImage(image) }))
+			c.keepRoom(min(s.Largest, spare), slices.DeleteFunc(slices.Clone(rooms), func(r room) bool { return !r.host.Images.HasImage(image) }))
 		}
 	}
 	perImage(now)
-	left := c.keepRoom(s.Spare(), now)
+	left := c.keepRoom(spare, now)
 	perImage(able)
 	if left > 0 {
-		c.keepRoom(s.Spare(), able)
+		c.keepRoom(spare, able)
 		c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: s.Spec, Tasks: left, Right: fleet.Guaranteed})
 	}
 }
 
+// misplaced counts the replicas of a class on hosts that are set aside for accelerator
+// work: they need room elsewhere before they can be moved.
+func (c *Core) misplaced(class string, hosts []*placement.Host) int {
+	n := 0
+	for _, h := range hosts {
+		if load := c.ledger.On(h.ID); h.ForGPUs && load != nil {
+			for ref := range load.Tasks {
+				if ref.Job.Class == class {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
 // room is a host with room for some services, now or once the arrays on it have ended,
 // which take ending CPUs.
 type room struct {
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -9,6 +9,7 @@
 	"github.com/segmentio/encoding/json"
 
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/worker"
 	"pepperlever/internal/protocol"
 )
 
@@ -150,13 +151,48 @@
 	c.takeTerm()
 }
 
+// heeds follows whether a machine hears what it is told.
+func (c *Core) heeds(m *worker.Machine, o *Observation) {
+	_, before := m.Deaf()
+	m.Answered(o.Report.Token, o.Term, c.now.Steady)
+	if _, deaf := m.Deaf(); deaf != before {
+		c.sched.dirty = true
+		if o.Node == c.cfg.Node {
+			c.log(Info, "machine does not hear its answers, or does again", "machine", m.Machine, "deaf", deaf)
+		}
+	}
+}
+
+// outdated tells whether a report is a copy, or older than one that is known: it may
+// come minutes late, to any controller.
+func (c *Core) outdated(r *protocol.Report) bool {
+	m := c.machines[r.Machine]
+	return c.marks[r.Machine].Gone || m != nil && !m.Newer(r)
+}
+
+// answerOutdated answers a report that says nothing new. A worker may be waiting for
+// it: the reply to a direct call can overtake its report. Nothing follows from it, and
+// what waits for the worker is kept for a report that does say something.
+func (c *Core) answerOutdated(m Beat) {
+	w := c.own[m.Report.Machine]
+	if w == nil || w.session != m.Report.Session || m.Report.Token > w.term {
+		c.unavailable(m.Req)
+		return
+	}
+	c.answer(m.Req, http.StatusOK, protocol.Orders{Token: w.term})
+}
+
 // beat answers a worker's report.
 func (c *Core) beat(m Beat) {
 	r := &m.Report
-	if c.term.term == 0 || !c.loaded {
+	if c.term.term == 0 || !c.loaded || c.sendsAway(r) {
 		c.unavailable(m.Req)
 		return
 	}
+	if c.outdated(r) {
+		c.answerOutdated(m)
+		return
+	}
 	w := c.own[r.Machine]
 	if w == nil || r.Token > w.term {
 		if r.Token > c.term.term {
@@ -212,11 +248,12 @@
 		delete(w.sent, taskAttempt{t.Task, t.Attempt})
 	}
 	m := c.machines[r.Machine]
-	known := m != nil && m.Node == c.cfg.Node && m.Term == w.term && m.Same(&r) && m.Newer(&r)
+	known := m != nil && m.Node == c.cfg.Node && m.Term == w.term && m.Same(&r) && m.Newer(&r) && !m.Missed(r.Token)
 	if known && (m.Exits == 0 || c.now.Steady-w.shared < 3*c.reportInterval()) {
 		// The others know; this node's beats tell them that the worker lives.
 		// Exited tasks are told again, lest the order to forget them was lost.
 		m.Seq = r.Seq
+		m.Answered(r.Token, w.term, c.now.Steady)
 		c.alive(m)
 		return
 	}
@@ -394,6 +431,9 @@
 func (c *Core) observe(o Observation) {
 	r := o.Report
 	m := c.machines[r.Machine]
+	if c.marks[r.Machine].Gone {
+		return // a late copy: the cloud has taken the machine with all that was on it
+	}
 	if m == nil {
 		c.cameUp(&r)
 		m = c.addMachine(r.Machine)
@@ -408,6 +448,7 @@
 		c.sched.dirty = true
 	}
 	m.Node, m.Term = o.Node, o.Term
+	c.heeds(m, &o)
 	c.learn(m, &r)
 	c.arrived(r.Machine, o.Node)
 	m.Update(r, c.now.Steady)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,6 +77,7 @@
 	peers   map[string]*peerState
 	storeOK bool
 	apart   apart
+	lonely  lonely
 
 	// gate is this site's gateway to others, nil without one.
 	gate *gate
@@ -245,6 +246,7 @@
 	}
 	if c.loaded {
 		c.tendApart()
+		c.tendLonely()
 	}
 	if c.every(&c.timers.catalog, c.catalogInterval()) {
 		c.emit(FetchCatalog{})
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -49,7 +49,7 @@
 	report := c.reportInterval()
 	for round := range uint64(40) {
 		for i := range fleet {
-			r := protocol.Report{Machine: fmt.Sprintf("vm-9%03d", i), Type: "small", Zone: "z1", Spot: true, Session: 1, Seq: round + 1}
+			r := protocol.Report{Machine: fmt.Sprintf("vm-9%03d", i), Type: "small", Zone: "z1", Spot: true, Session: 1, Seq: round + 1, Token: 1}
 			c.observe(Observation{Node: c.cfg.Node, Term: 1, Report: r})
 		}
 		rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -28,7 +28,8 @@
 func (c *Core) preempt(hosts []*placement.Host) {
 	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool { return h.Lasts >= 0 || !c.yields(h.ID) })
 	for _, j := range c.sched.starved {
-		if j.Kind == job.Gang || c.now.Steady-j.WaitingSince < c.patience(j) || c.now.Steady-j.PreemptedAt < c.patience(j) {
+		waits := j.Kind != job.Service && c.now.Steady-j.WaitingSince < c.patience(j)
+		if j.Kind == job.Gang || waits || j.PreemptedAt > 0 && c.now.Steady-j.PreemptedAt < c.patience(j) {
 			continue
 		}
 		taken := map[*placement.Host]bool{}
@@ -47,8 +48,9 @@
 	}
 }
 
-// patience is how long a job waits before room is made for it: urgent ones as
-// long as it takes to hear what has ended meanwhile.
+// patience is how long a job waits before room is made for it, or more of it: urgent
+// ones as long as it takes to hear what has ended meanwhile. For services the first is
+// made at once.
 func (c *Core) patience(j *job.Job) time.Duration {
 	if j.AboveNormal() {
 		return c.reportInterval() / 6
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -169,7 +169,7 @@
 	return t.Price / max(t.CPUs, 1)
 }
 
-// usable tells whether new tasks may go to a machine: it is heard, does not
+// usable tells whether new tasks may go to a machine: it is heard and hears, does not
 // close, and its controller can be told.
 func (c *Core) usable(m *worker.Machine) bool {
 	if _, closing := c.marks[m.Machine]; closing || m.Term == 0 {
@@ -178,6 +178,9 @@
 	if _, closing := c.rental.closing[m.Machine]; closing {
 		return false
 	}
+	if _, deaf := m.Deaf(); deaf {
+		return false
+	}
 	quiet := c.now.Steady - m.Seen
 	return c.reaches(m.Node) && quiet < 2*c.reportInterval()+c.reportInterval()/2 && c.faults(m) < guiltyAt &&
 		(m.FullAt == 0 || c.now.Steady-m.FullAt > c.reportInterval()/2)
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -31,16 +31,17 @@
 	// Blame counts the failures of each job on it since any task succeeded.
 	Blame map[string]int
 
-	// since is when each task of the report was first seen running.
-	since []time.Duration
+	hearing
+	// ran is when each task of the report was first seen running.
+	ran []time.Duration
 	// at finds the tasks of a long report.
 	at map[attempt]int
 }
 
 // Ran is how long a task has been seen running.
 func (m *Machine) Ran(task string, attempt uint64, now time.Duration) time.Duration {
-	if i := m.index(task, attempt); i >= 0 && m.since[i] > 0 {
-		return now - m.since[i]
+	if i := m.index(task, attempt); i >= 0 && m.ran[i] > 0 {
+		return now - m.ran[i]
 	}
 	return 0
 }
@@ -125,14 +126,14 @@
 		switch t.State {
 		case protocol.Running:
 			since[i] = now
-			if at := m.index(t.Task, t.Attempt); at >= 0 && m.since[at] > 0 {
-				since[i] = m.since[at]
+			if at := m.index(t.Task, t.Attempt); at >= 0 && m.ran[at] > 0 {
+				since[i] = m.ran[at]
 			}
 		case protocol.Exited:
 			m.Exits++
 		}
 	}
-	m.since, m.at = since, at
+	m.ran, m.at = since, at
 }
 
 // attempt names one attempt of a task.
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -84,6 +84,13 @@
 	late      map[link][]PeerMsg
 	frozen    map[string]bool
 	unreached map[string]bool
+	// unhearing are the machines whose reports arrive while nothing reaches them;
+	// unheardBy are the controllers that a machine does not hear.
+	unhearing map[string]bool
+	unheardBy map[link]bool
+	// copying lets copies of past reports come late, to any controller.
+	copying bool
+	past    []Beat
 	// noCloud keeps the cloud from taking machines back.
 	noCloud bool
 	// told is when the user of a job was told that it is cancelled.
@@ -134,7 +141,7 @@
 		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{}, broken: map[string]bool{}, faulty: map[string]bool{},
 		deaf: map[string]bool{}, redirected: map[string]int{},
 		cfg: map[string]*settings.Settings{}, names: names, most: 40, taskTime: 5 * time.Second,
-		refused: map[link]bool{}, slow: map[link]bool{}, late: map[link][]PeerMsg{}, frozen: map[string]bool{}, unreached: map[string]bool{}, told: map[string]time.Duration{}}
+		refused: map[link]bool{}, slow: map[link]bool{}, late: map[link][]PeerMsg{}, frozen: map[string]bool{}, unreached: map[string]bool{}, unhearing: map[string]bool{}, unheardBy: map[link]bool{}, told: map[string]time.Duration{}}
 	w.types = []protocol.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"z1", "z2"}},
 	}
@@ -271,6 +278,7 @@
 			return true
 		}
 		w.tendWorkers()
+		w.sendCopies()
 		for _, node := range w.names {
 			w.step(node)
 		}
@@ -491,10 +499,19 @@
 	f.Seq++
 	w.nextReq++
 	req := w.nextReq
-	w.send(node, Beat{Req: req, Report: w.snapshot(f)})
+	beat := Beat{Req: req, Report: w.snapshot(f)}
+	if w.copying && w.rng.IntN(4) == 0 {
+		w.past = append(w.past, beat)
+	}
+	w.send(node, beat)
 	for range 4 {
 		w.step(node)
 	}
+	if !w.hears(f, node) {
+		f.node++
+		f.next = w.now + 5*time.Second // a time-out and a pause
+		return
+	}
 	a, ok := w.answers[req]
 	delete(w.answers, req)
 	if to, ok := a.Body.(protocol.Redirect); ok {
@@ -514,6 +531,24 @@
 	}
 }
 
+// hears tells whether what a controller tells a machine reaches it.
+func (w *world) hears(f *fakeWorker, node string) bool {
+	return !w.unhearing[f.Machine] && !w.unheardBy[link{node, f.Machine}]
+}
+
+// sendCopies lets a copy of a past report arrive, now and then.
+func (w *world) sendCopies() {
+	if !w.copying || len(w.past) == 0 || w.rng.IntN(3) > 0 {
+		return
+	}
+	b := w.past[w.rng.IntN(len(w.past))]
+	w.nextReq++
+	b.Req = w.nextReq
+	if node := w.names[w.rng.IntN(len(w.names))]; w.cores[node] != nil && !w.frozen[node] {
+		w.send(node, b)
+	}
+}
+
 func (w *world) snapshot(f *fakeWorker) protocol.Report {
 	r := f.Report
 	r.Tasks = slices.Clone(f.Tasks)
@@ -524,7 +559,7 @@
 func (w *world) deliver(node string, d Deliver) {
 	f := w.workers[d.Machine]
 	out := Delivered{Machine: d.Machine, Orders: d.Orders}
-	if f != nil && !f.dead && !w.unreached[f.Machine] {
+	if f != nil && !f.dead && !w.unreached[f.Machine] && w.hears(f, node) {
 		f.Seq++
 		if d.Orders.Token >= f.Token && d.Orders.Session == f.Session {
 			f.Token = d.Orders.Token
