--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -167,7 +167,7 @@
 // come minutes late, to any controller.
 func (c *Core) outdated(r *protocol.Report) bool {
 	m := c.machines[r.Machine]
-	return c.marks[r.Machine].Gone || m != nil && !m.Newer(r)
+	return c.marks[r.Machine].Gone || m != nil && m.Outdated(r)
 }
 
 // answerOutdated answers a report that says nothing new. A worker may be waiting for
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -341,6 +341,8 @@
 	Records map[string]fairness.Record `json:"r,omitempty"`
 	// Heard names the machines that this node has heard since its last beat.
 	Heard []string `json:"h,omitempty"`
+	// Seqs are the sequence numbers of their newest reports, in the same order.
+	Seqs []uint64 `json:"q,omitempty"`
 	// Misses names the live controllers that this node does not hear.
 	Misses []string `json:"m,omitempty"`
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -174,7 +174,7 @@
 	}
 	for id := range ordered(c.own) {
 		if m := c.machines[id]; m != nil && m.Node == c.cfg.Node && m.Seen > c.beatAt {
-			b.Heard = append(b.Heard, id)
+			b.Heard, b.Seqs = append(b.Heard, id), append(b.Seqs, m.Seq)
 		}
 	}
 	c.beatAt = c.now.Steady
@@ -206,8 +206,11 @@
 			t.record, t.ranked = r, r
 		}
 	}
-	for _, id := range b.Heard {
+	for i, id := range b.Heard {
 		if m := c.machines[id]; m != nil {
+			if m.Node == node && i < len(b.Seqs) {
+				m.HeardSeq = max(m.HeardSeq, b.Seqs[i])
+			}
 			c.alive(m)
 		}
 	}
--- /dev/null
+++ b/internal/core/worker/hearing_test.go
@@ -0,0 +1,32 @@
+package worker
+
+import (
+	"testing"
+	"time"
+)
+
+func TestMachineHears(t *testing.T) {
+	type answered struct{ token, with uint64 }
+	for name, c := range map[string]struct {
+		reports []answered
+		deaf    bool
+	}{
+		"new":                             {[]answered{{0, 5}}, false},
+		"hears":                           {[]answered{{0, 5}, {5, 5}, {5, 5}}, false},
+		"turns to another controller":     {[]answered{{5, 5}, {5, 7}, {7, 7}}, false},
+		"one answer is lost on the way":   {[]answered{{5, 5}, {5, 7}, {5, 8}, {8, 8}}, false},
+		"hears nobody any more":           {[]answered{{5, 5}, {5, 7}, {5, 8}, {5, 9}}, true},
+		"hears nobody, one controller":    {[]answered{{5, 7}, {5, 7}, {5, 7}}, true},
+		"hears again":                     {[]answered{{5, 7}, {5, 7}, {5, 7}, {7, 7}}, false},
+		"a newer token from a third node": {[]answered{{5, 7}, {9, 7}, {9, 9}}, false},
+	} {
+		m := &Machine{}
+		for i, r := range c.reports {
+			m.Answered(r.token, r.with, time.Duration(i+1)*time.Second)
+		}
+		since, deaf := m.Deaf()
+		if deaf != c.deaf || deaf && since != 3*time.Second && name != "hears nobody any more" {
+			t.Errorf("%s: deaf %v since %v", name, deaf, since)
+		}
+	}
+}
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -15,6 +15,9 @@
 	// Node is the controller that it reports to, Term the one it acts under.
 	Node string
 	Term uint64
+	// HeardSeq is the newest sequence number that its controller has told of, of reports
+	// that said nothing new and were not passed on.
+	HeardSeq uint64
 	// Seen is when the newest sign of life came.
 	Seen time.Duration
 	// NoticeAt is when the cloud takes it away; zero without notice.
@@ -89,6 +92,11 @@
 	return r.Seq > m.Seq
 }
 
+// Outdated tells whether r is a copy of a report that some controller has had, or older.
+func (m *Machine) Outdated(r *protocol.Report) bool {
+	return !m.Newer(r) || r.Session == m.Session && r.Seq <= m.HeardSeq
+}
+
 // Same tells whether a report says the same as the one already held, but for
 // its age.
 func (m *Machine) Same(r *protocol.Report) bool {
@@ -101,6 +109,9 @@
 	if !slices.Equal(r.Tasks, m.Tasks) {
 		m.follow(r.Tasks, now)
 	}
+	if r.Session != m.Session {
+		m.HeardSeq = 0
+	}
 	m.Report = r
 	switch {
 	case r.NoticeS == nil:
