Count what has become of jobs by class, team and largest jobs, in the log and the metrics

Need: half of each class, team and largest jobs has to be served, and no job may go unanswered for 75 s; nothing told. Change: every controller tallies the jobs that it mirrors; the renter logs a line for each class and team every 15 report intervals, /metrics has the same with the oldest that waits and the longest time without an answer at this controller.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -94,7 +95,7 @@
 	case path == protocol.PathMetrics:
 		a.only(ctx, method, fasthttp.MethodGet, func(ctx *fasthttp.RequestCtx) {
 			ctx.SetContentType("text/plain; charset=utf-8")
-			ctx.SetBody(append(a.metrics.text(), a.gatewayMetrics()...))
+			ctx.SetBody(slices.Concat(a.metrics.text(), a.servedMetrics(), a.gatewayMetrics()))
 		})
 	case path == protocol.PathList:
 		a.only(ctx, method, fasthttp.MethodGet, func(ctx *fasthttp.RequestCtx) {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -3,10 +3,12 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"pepperlever/internal/core"
+	"pepperlever/internal/core/tally"
 	"pepperlever/internal/gateway"
 	"pepperlever/internal/protocol"
 	"pepperlever/internal/settings"
@@ -51,6 +53,9 @@
 		return &core.Answer{Req: c.Req, Status: 200, Body: "list after " + c.After}
 	case core.Health:
 		return &core.Answer{Req: c.Req, Status: 200}
+	case core.Served:
+		return &core.Answer{Req: c.Req, Status: 200, Body: core.ServedRows{Unanswered: 8 * time.Second,
+			Rows: []tally.Row{{Kind: "class", Name: "train", Accepted: 3, LargestStarted: 1, Oldest: 7 * time.Second}}}}
 	case core.Beat:
 		return &core.Answer{Req: c.Req, Status: 200, Body: c.Report.Machine}
 	case core.SiteAsk:
@@ -63,7 +68,7 @@
 	return nil
 }
 
-// Without a gateway's file there is nothing to ask; with one operators reach the core,
+// The metrics tell what has become of jobs. Without a gateway's file there is nothing to ask; with one operators reach the core,
 // and the metrics tell how it stands.
 func TestOperatorsReachTheGateway(t *testing.T) {
 	defer func() { gatewayOn = false }()
@@ -74,7 +79,10 @@
 		want               string
 	}{
 		{false, "GET", "/gateway/status", "", 404, ""},
-		{false, "GET", "/metrics", "", 200, ""},
+		{false, "GET", "/metrics", "", 200, `pepperlever_jobs{class="train",state="accepted"} 3`},
+		{false, "GET", "/metrics", "", 200, `pepperlever_jobs{class="train",state="largest_started"} 1`},
+		{false, "GET", "/metrics", "", 200, `pepperlever_oldest_waiting_seconds{class="train"} 7`},
+		{false, "GET", "/metrics", "", 200, "pepperlever_longest_unanswered_seconds 8"},
 		{true, "GET", "/gateway/status", "", 200, `"node":"a"`},
 		{true, "POST", "/gateway/status", "", 405, ""},
 		{true, "POST", "/gateway/give-up", `{"name":"req-1","why":"lost","o":"drain"}`, 200, "give-up req-1 lost"},
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"pepperlever/internal/core"
 	"pepperlever/internal/protocol"
 )
 
@@ -75,3 +76,25 @@
 	}
 	return []byte(b.String())
 }
+
+// servedMetrics tells what has become of jobs since this controller began.
+func (a *API) servedMetrics() []byte {
+	ans := a.await(func(req uint64) core.Command { return core.Served{Req: req} })
+	s, ok := ans.Body.(core.ServedRows)
+	if !ok {
+		return nil
+	}
+	var b strings.Builder
+	for _, r := range s.Rows {
+		for _, f := range []struct {
+			state string
+			jobs  int
+		}{{"accepted", r.Accepted}, {"started", r.Started}, {"done", r.Done}, {"cancelled", r.Cancelled},
+			{"largest_accepted", r.LargestAccepted}, {"largest_started", r.LargestStarted}} {
+			fmt.Fprintf(&b, "pepperlever_jobs{%s=%q,state=%q} %d\n", r.Kind, r.Name, f.state, f.jobs)
+		}
+		fmt.Fprintf(&b, "pepperlever_oldest_waiting_seconds{%s=%q} %.0f\n", r.Kind, r.Name, r.Oldest.Seconds())
+	}
+	fmt.Fprintf(&b, "pepperlever_longest_unanswered_seconds %.0f\n", s.Unanswered.Seconds())
+	return []byte(b.String())
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,11 +5,13 @@
 import (
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
 	"pepperlever/internal/core/fairness"
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/tally"
 	"pepperlever/internal/core/worker"
 	"pepperlever/internal/gateway"
 	"pepperlever/internal/protocol"
@@ -78,6 +80,7 @@
 	storeOK bool
 	apart   apart
 	lonely  lonely
+	tally   *tally.Tally
 
 	// gate is this site's gateway to others, nil without one.
 	gate *gate
@@ -89,7 +92,7 @@
 
 // timers hold the next time of each periodic duty.
 type timers struct {
-	last, beat, share, gossip, short, spread, record, homes, settle, fleet, forget, catalog, list, vacate time.Duration
+	last, beat, share, gossip, short, spread, record, homes, settle, fleet, forget, catalog, list, vacate, told time.Duration
 }
 
 // team is the state of one team, whoever is its home.
@@ -121,7 +124,7 @@
 		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, withdrawn: map[string]int64{}, goneAt: map[string]uint64{},
 		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{}, decided: map[string]*decisions{}, zoneSeen: map[string]time.Duration{},
 		peers: map[string]*peerState{}, storeOK: true,
-		sites: newSiteRecords(), sched: newSchedState(), rental: newRentState(), spread: newSpread(), term: termState{own: map[uint64]bool{}}, apart: apart{read: map[string]*reading{}},
+		sites: newSiteRecords(), sched: newSchedState(), rental: newRentState(), spread: newSpread(), term: termState{own: map[uint64]bool{}}, apart: apart{read: map[string]*reading{}}, tally: tally.New(),
 	}
 	for _, t := range cfg.Params.Teams {
 		c.addTeam(&team{Team: t, key: keyHome + teamPart(t.Name), jobs: map[string]*job.Job{}})
@@ -169,6 +172,8 @@
 		c.list(m)
 	case Health:
 		c.health(m)
+	case Served:
+		c.answer(m.Req, http.StatusOK, c.served())
 	case Beat:
 		c.beat(m)
 	case StoreReply:
@@ -257,6 +262,9 @@
 	if c.fleet.acting && c.every(&c.timers.list, c.listInterval()) {
 		c.emit(FetchList{})
 	}
+	if c.fleet.acting && c.every(&c.timers.told, tellEvery*report) {
+		c.tellServed()
+	}
 	if c.loaded && c.every(&c.timers.record, 15*recordInterval) {
 		c.storeRecords()
 	}
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -65,6 +65,8 @@
 	FailedOn          []string
 	Probes            int
 	NotBefore         time.Duration
+	// Begun is set once a task was seen running.
+	Begun bool
 	// Urgent asks for the job to be stored without delay; StoredAt is when it
 	// last was, CancelledAt when its cancellation became known.
 	Urgent                bool
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -38,6 +38,8 @@
 		Req   uint64
 		After string
 	}
+	// Served asks what has become of jobs, by class and team.
+	Served struct{ Req uint64 }
 	// Health asks whether this node can take requests.
 	Health struct{ Req uint64 }
 	// Beat is a worker's report.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -242,6 +242,7 @@
 func (c *Core) addJob(t *team, j *job.Job) {
 	c.jobs[j.ID] = j
 	t.jobs[j.ID] = j
+	c.tally.Accept(j.ID, j.Class, j.Team, j.Tasks, c.now.Steady)
 	c.ledger.Add(j)
 	c.sched.dirty = true
 }
@@ -285,6 +286,7 @@
 	if _, known := c.finals[id]; known {
 		return
 	}
+	c.tally.End(id, s.State == protocol.Cancelled)
 	if len(c.finals) >= finalsKept {
 		clear(c.finals)
 	}
--- /dev/null
+++ b/internal/core/served.go
@@ -0,0 +1,33 @@
+package core
+
+import (
+	"time"
+
+	"pepperlever/internal/core/tally"
+)
+
+// ServedRows is the answer to Served.
+type ServedRows struct {
+	Rows []tally.Row
+	// Unanswered is the longest time for which no question about some job was answered
+	// by this controller.
+	Unanswered time.Duration
+}
+
+func (c *Core) served() ServedRows {
+	return ServedRows{c.tally.Rows(c.now.Steady), c.tally.Longest()}
+}
+
+// tellEvery is the pause, in report intervals, between two accounts in the log.
+const tellEvery = 15
+
+// tellServed tells the operator what has become of jobs. One controller does, the
+// renter, which mirrors them all.
+func (c *Core) tellServed() {
+	s := c.served()
+	for _, r := range s.Rows {
+		c.log(Info, "served", r.Kind, r.Name, "accepted", r.Accepted, "started", r.Started, "done", r.Done, "cancelled", r.Cancelled,
+			"largest", r.Largest, "of these accepted", r.LargestAccepted, "started of these", r.LargestStarted, "oldest waits", r.Oldest.Round(time.Second),
+			"longest without an answer", s.Unanswered.Round(time.Second))
+	}
+}
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -72,6 +72,10 @@
 			continue
 		}
 		c.noteImage(m, j, t)
+		if t.State == protocol.Running && !j.Begun {
+			j.Begun = true
+			c.tally.Start(j.ID)
+		}
 		if j.Cancelled && t.State != protocol.Exited && m.Node == c.cfg.Node {
 			c.dismiss(m, t)
 			continue
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -156,7 +156,10 @@
 		c.unknown(m.Req)
 		return
 	}
-	c.inquire(m.ID, func(f finding, s protocol.JobState) { c.found(m.Req, f, s) })
+	c.inquire(m.ID, func(f finding, s protocol.JobState) {
+		c.tally.Asked(m.ID, f != untold, c.now.Steady)
+		c.found(m.Req, f, s)
+	})
 }
 
 // found answers with what was found out about a job.
