--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -132,6 +132,79 @@
 	}
 }
 
+// BenchmarkMixedRound is one round with services, gangs and wide arrays on two types of
+// machines: all full, and some of each kind waiting.
+func BenchmarkMixedRound(b *testing.B) {
+	for _, machines := range fleetSizes {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) {
+			c := mixedCore(machines)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.now.Steady += time.Second
+				for _, m := range c.machines {
+					m.Seen = c.now.Steady
+				}
+				c.sched.dirty, c.sched.next, c.effects, c.claims = true, 0, nil, nil
+				c.schedule()
+			}
+		})
+	}
+}
+
+// mixedCore is a controller whose machines are full of array tasks and services, with one
+// in ten that has accelerators and runs a gang's task.
+func mixedCore(machines int) *Core {
+	c := New(testSettings("a"), settings.DefaultPolicy(), "x")
+	c.now.Steady, c.loaded, c.term.term = time.Second, true, 1
+	c.catalogIn(CatalogIn{Types: []protocol.MachineType{
+		{Name: "small", CPUs: 8, MemoryGB: 64, CacheGB: 50, Price: 1, SpotPrice: 0.4},
+		{Name: "large", CPUs: 48, GPUs: 8, MemoryGB: 288, CacheGB: 50, Price: 20, SpotPrice: 8}}})
+	t := c.teams[2]
+	t.acting, t.home, t.version = true, "a", 1
+	add := func(id string, kind job.Kind, class string, tasks, priority int, need job.Resources) *job.Job {
+		j := job.New(job.Spec{ID: id, Team: t.Name, Class: class, Kind: kind, Tasks: tasks, Priority: priority, Need: need, Image: id, ImageGB: 1,
+			EstimateS: 30, Spot: kind == job.Array, Spread: kind == job.Service, OneZone: kind == job.Gang}, 512, 0)
+		j.Version = 1
+		c.addJob(t, j)
+		return j
+	}
+	services := []*job.Job{}
+	for n := range 6 {
+		services = append(services, add(fmt.Sprint("req-s", n), job.Service, "watch", machines, 0, job.Resources{CPUs: 4, MemoryGB: 30}))
+	}
+	array := add("req-a0", job.Array, "batch", 20*machines, 2, job.Resources{CPUs: 1, MemoryGB: 6})
+	gang := add("req-g0", job.Gang, "train", machines, 1, job.Resources{CPUs: 43, GPUs: 8, MemoryGB: 230})
+	for n := range machines {
+		r := benchReport(n, "")
+		r.Zone, r.Spot, r.Tasks = fmt.Sprint("z", 1+n%2), n%3 == 0, nil
+		on := func(j *job.Job, i int) {
+			j.Bind(i, &job.Binding{Machine: r.Machine, Attempt: 1, Term: 1, Session: 1, Stored: true, Sent: true})
+			r.Tasks = append(r.Tasks, protocol.TaskReport{Task: j.TaskID(i), Attempt: 1, State: protocol.Running})
+		}
+		switch {
+		case n%10 == 0:
+			r.Type, r.Spot = "large", false
+			on(gang, n)
+		case r.Spot:
+			for i := range 8 {
+				on(array, 8*n+i)
+			}
+		default:
+			on(services[n%6], n)
+			for i := range 4 {
+				on(array, 8*n+i)
+			}
+		}
+		c.observe(Observation{Node: "a", Term: 1, Report: r})
+	}
+	for n := range 20 {
+		add(fmt.Sprint("req-w", n), job.Service, "watch", 6, 0, job.Resources{CPUs: 4, MemoryGB: 30})
+		add(fmt.Sprint("req-b", n), job.Array, "batch", 500, 2, job.Resources{CPUs: 1, MemoryGB: 6})
+		add(fmt.Sprint("req-h", n), job.Gang, "train", 1+n%8, 1, job.Resources{CPUs: 43, GPUs: 8, MemoryGB: 230})
+	}
+	return c
+}
+
 // BenchmarkReload is the whole stored state read again, as after a start or when
 // the state service no longer has the changes that were missed: a tenth as many
 // jobs as machines, and as many marks of returned machines as jobs.
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -26,14 +26,22 @@
 // higher priority, which wait for nothing else and stay. Any other is stopped
 // only where the operator asks for it. No more work is lost than room is made for.
 func (c *Core) preempt(hosts []*placement.Host) {
-	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool { return h.Lasts >= 0 || !c.yields(h.ID) })
+	idle := c.yields(hosts, func(v *job.Job) bool { return c.policy.Preemption || lowest(v) })
+	var arrays []*placement.Host // for services
+	if slices.ContainsFunc(c.sched.starved, func(j *job.Job) bool { return j.Kind == job.Service }) {
+		arrays = c.yields(hosts, func(v *job.Job) bool { return v.Kind == job.Array && !v.AboveNormal() })
+	}
 	for _, j := range c.sched.starved {
+		from := &idle
+		if j.Kind == job.Service {
+			from = &arrays
+		}
 		waits := j.Kind != job.Service && c.now.Steady-j.WaitingSince < c.patience(j)
 		if j.Kind == job.Gang || waits || j.PreemptedAt > 0 && c.now.Steady-j.PreemptedAt < c.patience(j) {
 			continue
 		}
 		taken := map[*placement.Host]bool{}
-		for _, o := range c.cheapest(j, hosts) {
+		for _, o := range c.cheapest(j, *from) {
 			taken[o.host] = true
 			for _, v := range o.victims {
 				c.log(Debug, "task stopped to make room", "task", v.job.TaskID(v.index), "machine", v.binding.Machine, "for", j.ID)
@@ -44,7 +52,8 @@
 		if len(taken) > 0 || j.Kind == job.Service {
 			j.PreemptedAt = c.now.Steady
 		}
-		hosts = slices.DeleteFunc(hosts, func(h *placement.Host) bool { return taken[h] })
+		gone := func(h *placement.Host) bool { return taken[h] }
+		idle, arrays = slices.DeleteFunc(idle, gone), slices.DeleteFunc(arrays, gone)
 	}
 }
 
@@ -58,9 +67,9 @@
 	return c.reportInterval()
 }
 
-// yields tells whether anything on a machine may be stopped.
-func (c *Core) yields(machine string) bool {
-	return c.anyOn(machine, func(j *job.Job) bool { return c.policy.Preemption || j.Kind == job.Array && !j.AboveNormal() })
+// yields lists the hosts that stay and have work on them that may be stopped.
+func (c *Core) yields(hosts []*placement.Host, may func(*job.Job) bool) []*placement.Host {
+	return slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool { return h.Lasts >= 0 || !c.anyOn(h.ID, may) })
 }
 
 // yielding lists the machines with work for idle time, with the room there would
@@ -96,17 +105,23 @@
 }
 
 // cheapest finds the hosts where room for the waiting tasks of j costs the least work,
-// no more of them in a zone than may be there.
+// no more of them in a zone than may be there. For services a few times as many hosts of
+// each zone are weighed as are needed, not all of a large fleet for each of many jobs.
 func (c *Core) cheapest(j *job.Job, hosts []*placement.Host) []opening {
-	most := j.Need.CPUs * j.EstimateS
+	most, weighed := j.Need.CPUs*j.EstimateS, math.MaxInt
 	if j.Kind == job.Service {
-		most = math.Inf(1)
+		most, weighed = math.Inf(1), weighedPerTask*c.allowance(j)
 	}
 	var all []opening
+	of := map[string]int{}
 	for _, h := range hosts {
+		if of[h.Zone] >= weighed {
+			continue
+		}
 		if m := c.machines[h.ID]; m != nil && j.Allows(h.Type, h.Zone, h.Spot) && j.Need.Fits(h.Size) && !h.AsideFrom(&j.Spec) {
 			if out, loss := c.victims(j, h, m); out != nil && loss < most {
 				all = append(all, opening{h, out, loss})
+				of[h.Zone]++
 			}
 		}
 	}
@@ -123,6 +138,9 @@
 	return out
 }
 
+// weighedPerTask is how many hosts of a zone are weighed for each service that waits.
+const weighedPerTask = 4
+
 // victims lists the tasks on a machine that would have to be stopped for one
 // task of j, those with the least loss first, or nil when that is not enough.
 func (c *Core) victims(j *job.Job, h *placement.Host, m *worker.Machine) ([]victim, float64) {
