Let gangs gather machines after a time that grows with the square of their size

Need: gangs of two and four can begin within 35 s if they gather machines soon, one of eight hardly can. Change: patience of (n*n-1)/16 time-outs, at most four, in place of log2(n).

--- a/internal/core/aside.go
+++ b/internal/core/aside.go
@@ -40,14 +40,16 @@
 	need := map[string]float64{}
 	a.spot, a.services, a.images = map[string]bool{}, map[string]*headroom.Class{}, map[string]map[string]bool{}
 	for _, j := range c.jobs {
+		if j.Need.GPUs == 0 && j.Kind != job.Service || j.Cancelled || j.Suspected || c.away(j.ID) {
+			continue
+		}
 		switch {
-		case j.Cancelled || j.Suspected || c.away(j.ID):
 		case j.Need.GPUs > 0:
 			if t := c.leastDear(&j.Spec); t != "" {
 				need[t] += float64(j.Tasks-j.Done.Len()) / float64(placement.Fit(j.Need, capacity(c.types[t])))
 				a.spot[t] = a.spot[t] || j.Spot
 			}
-		case j.Kind == job.Service:
+		default:
 			s := a.services[j.Class]
 			if s == nil {
 				s = &headroom.Class{}
@@ -68,7 +70,7 @@
 			p = &headroom.Peak{}
 			a.peaks[t] = p
 		}
-		p.Note(window, int(math.Ceil(need[t])))
+		p.Note(window, int(math.Ceil(need[t]-1e-6))) // whatever the order of the sum
 		if p.Max() > 0 {
 			a.wanted[t] = p.Max()
 		}
@@ -282,9 +284,16 @@
 	}
 }
 
-// holdsFrom is the time of day, in milliseconds, from which a gang gathers hosts: after
-// a time-out for each doubling of its size. While a gang of eight gathers them, several
-// small ones wait that could have run.
+// holdsFrom is the time of day, in milliseconds, from which a gang gathers hosts. While
+// one of eight gathers them several small ones wait that could have run, so it waits for
+// longer than they do: as the square of its size, up to holdAfter time-outs.
 func (c *Core) holdsFrom(j *job.Job) int64 {
-	return j.Accepted + int64(c.policy.TimeoutS*1000*math.Log2(float64(j.Tasks)))
+	n := float64(j.Tasks)
+	return j.Accepted + int64(c.policy.TimeoutS*1000*min((n*n-1)/holdSquare, holdAfter))
 }
+
+// A gang of four waits for about one time-out, one of eight or more for holdAfter.
+const (
+	holdSquare = 16
+	holdAfter  = 4
+)
