--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -190,9 +190,20 @@
 	}
 }
 
-// keepLease holds a lease and tells the core when it is a new one.
+// renewal is the outcome of one renewal of a lease.
+type renewal struct {
+	lease  uint64
+	status int
+	err    error
+}
+
+// keepLease holds a lease and tells the core when it is a new one. A renewal is sent
+// every third of the lease's time, whether the one before is answered or not: where
+// the state service is slow now and then, waiting for one answer let the lease end, and
+// every controller lost its homes every few seconds (docs/incidents/inc-5631.md).
 func (s *Store) keepLease(ctx context.Context) error {
 	var lease uint64
+	results := make(chan renewal, 1)
 	for ctx.Err() == nil {
 		pause := s.ttl() / 3
 		if lease == 0 {
@@ -204,21 +215,48 @@
 			} else {
 				pause = s.report() / 10
 			}
-		} else {
-			path := protocol.PathLeases + "/" + strconv.FormatUint(lease, 10) + "/" + protocol.PathRenew
-			status, err := s.quick.call(fasthttp.MethodPost, path, struct{}{}, nil)
+			sleep(ctx, pause)
+			continue
+		}
+		go s.renew(ctx, lease, results)
+		lease = s.awaitRenewals(ctx, lease, pause, results)
+	}
+	return ctx.Err()
+}
+
+// renew renews a lease once.
+func (s *Store) renew(ctx context.Context, lease uint64, results chan<- renewal) {
+	path := protocol.PathLeases + "/" + strconv.FormatUint(lease, 10) + "/" + protocol.PathRenew
+	status, err := s.quick.call(fasthttp.MethodPost, path, struct{}{}, nil)
+	s.health.note(err == nil && status < 429, s.report())
+	select {
+	case results <- renewal{lease, status, err}:
+	case <-ctx.Done():
+	}
+}
+
+// awaitRenewals takes outcomes until the next renewal is due, sooner after one that
+// failed. It returns the lease, or 0 once it has ended.
+func (s *Store) awaitRenewals(ctx context.Context, lease uint64, pause time.Duration, results <-chan renewal) uint64 {
+	due := time.NewTimer(pause)
+	defer due.Stop()
+	for {
+		select {
+		case r := <-results:
 			switch {
-			case err == nil && status == fasthttp.StatusNotFound:
-				lease, pause = 0, 0
+			case r.lease != lease:
+			case r.err == nil && r.status == fasthttp.StatusNotFound:
 				s.emit(core.LeaseDown{})
-			case err != nil || status != fasthttp.StatusOK:
-				pause = s.ttl() / 10
+				return 0
+			case r.err != nil || r.status != fasthttp.StatusOK:
+				due.Reset(s.ttl() / 10)
 			}
-			s.health.note(err == nil && status < 429, s.report())
+		case <-due.C:
+			return lease
+		case <-ctx.Done():
+			return lease
 		}
-		sleep(ctx, pause)
 	}
-	return ctx.Err()
 }
 
 // errReload tells that the changes can't be followed from here on.
