Give a deaf machine back as an idle one, by the mechanism that there is

A test without the verdict of its own still saw the machine given back: once its lease has ended its tasks nothing is bound to it, nothing new comes, and it is idle. The verdict after two leases is removed.

--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -153,12 +153,12 @@
 
 // heeds follows whether a machine hears what it is told.
 func (c *Core) heeds(m *worker.Machine, o *Observation) {
-	_, before := m.Deaf()
-	m.Answered(o.Report.Token, o.Term, c.now.Steady)
-	if _, deaf := m.Deaf(); deaf != before {
+	before := m.Deaf()
+	m.Answered(o.Report.Token, o.Term)
+	if m.Deaf() != before {
 		c.sched.dirty = true
 		if o.Node == c.cfg.Node {
-			c.log(Info, "machine does not hear its answers, or does again", "machine", m.Machine, "deaf", deaf)
+			c.log(Info, "machine does not hear its answers, or does again", "machine", m.Machine, "deaf", !before)
 		}
 	}
 }
@@ -253,7 +253,7 @@
 		// The others know; this node's beats tell them that the worker lives.
 		// Exited tasks are told again, lest the order to forget them was lost.
 		m.Seq = r.Seq
-		m.Answered(r.Token, w.term, c.now.Steady)
+		m.Answered(r.Token, w.term)
 		c.alive(m)
 		return
 	}
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -72,9 +72,6 @@
 		case quiet > 2*c.reportInterval() && c.unlisted(id):
 			c.doom(id, "no longer listed")
 		}
-		if since, deaf := m.Deaf(); deaf && c.now.Steady-since > deafPatience*seconds(c.cfg.Params.Workers.LeaseS) {
-			c.doom(id, "does not hear")
-		}
 		if c.faults(m) >= guiltyAt {
 			c.doom(id, "tasks fail on it")
 		}
@@ -92,10 +89,6 @@
 	return true
 }
 
-// deafPatience is for how many leases a machine that reports but does not hear is kept.
-// What ran on it has ended with the first of them.
-const deafPatience = 2
-
 // darkPatience is for how many leases machines behind a cut are left alone.
 const darkPatience = 3
 
--- a/internal/core/spread.go
+++ b/internal/core/spread.go
@@ -44,7 +44,7 @@
 // surplus is sent on at a time: others send theirs too.
 func (c *Core) lighter(r *protocol.Report) string {
 	w := c.own[r.Machine]
-	if _, deaf := c.machines[r.Machine].Deaf(); deaf || c.now.Steady < c.timers.spread || len(w.queue)+len(w.orders)+len(w.sent) > 0 || w.busy {
+	if c.machines[r.Machine].Deaf() || c.now.Steady < c.timers.spread || len(w.queue)+len(w.orders)+len(w.sent) > 0 || w.busy {
 		return ""
 	}
 	c.countHeard()
--- a/internal/core/worker/hearing.go
+++ b/internal/core/worker/hearing.go
@@ -1,7 +1,5 @@
 package worker
 
-import "time"
-
 // hearing follows, from a machine's own reports, whether it hears what it is told. A
 // report says the highest token that the worker has seen, so one that is lower than the
 // token which the report before was answered with shows that the answer did not arrive.
@@ -10,29 +8,23 @@
 type hearing struct {
 	told   uint64
 	misses int
-	since  time.Duration
 }
 
 // deafAt is how many answers in a row have to be lost. One may be on any day.
 const deafAt = 2
 
 // Answered takes a report's token and the token of its answer.
-func (m *Machine) Answered(token, with uint64, now time.Duration) {
-	h := &m.hearing
-	switch {
-	case token >= h.told:
-		h.misses = 0
-	case h.misses < deafAt:
-		if h.misses++; h.misses == deafAt {
-			h.since = now
-		}
+func (m *Machine) Answered(token, with uint64) {
+	if token >= m.told {
+		m.misses = 0
+	} else {
+		m.misses++
 	}
-	h.told = with
+	m.told = with
 }
 
 // Missed tells whether a report shows that an answer did not arrive.
 func (m *Machine) Missed(token uint64) bool { return token < m.told }
 
-// Deaf tells whether the machine does not hear what it is told, and since when this is
-// known.
-func (m *Machine) Deaf() (since time.Duration, deaf bool) { return m.hearing.since, m.misses >= deafAt }
+// Deaf tells whether the machine does not hear what it is told.
+func (m *Machine) Deaf() bool { return m.misses >= deafAt }
