Give a job that has waited for four time-outs the first turn until it has something

Change: a job without anything bound or done after four time-outs comes first in its priority, until something is. Test: fails without it after three minutes.

--- a/internal/core/aside_test.go
+++ b/internal/core/aside_test.go
@@ -70,6 +70,24 @@
 	w.startedOnce()
 }
 
+// Arrays are served in the order of their time, so one that comes behind wide ones has to
+// wait for all of their tasks. It begins within four minutes all the same.
+func TestSmallArrayBeginsBehindWideOnes(t *testing.T) {
+	w := gpuWorld(t, 10, 0)
+	w.taskTime = 20 * time.Second
+	accepted(t, w.submit("a", "req-free-wide", 600, ""))
+	w.run(5*time.Second, nil)
+	accepted(t, w.submit("a", "req-free-small", 10, ""))
+	if !w.run(3*time.Minute, func() bool { return w.startsOf("req-free-small") > 0 }) {
+		t.Error("not one task has begun after three minutes")
+	}
+	before := w.startsOf("req-free-wide")
+	w.run(time.Minute, nil)
+	if now := w.startsOf("req-free-wide"); now-before < 40 {
+		t.Errorf("%d tasks of the wide array were started in a minute beside it", now-before)
+	}
+}
+
 // Two gangs that want the same zone must not hold half of it each.
 func TestTwoLargeGangsDoNotHoldEachOtherUp(t *testing.T) {
 	w := gpuWorld(t, 2, 12)
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -308,9 +308,14 @@
 }
 
 // turnAt orders jobs of a priority: by when they would have to start, and gangs
-// without a deadline by when they begin to gather hosts.
+// without a deadline by when they begin to gather hosts. What has waited for holdAfter
+// time-outs and has nothing yet comes first, until it has something: behind wide arrays
+// small ones began after up to six minutes.
 func (c *Core) turnAt(j *job.Job) int64 {
-	if j.Kind == job.Gang && j.DeadlineS == 0 {
+	switch {
+	case len(j.Bound)+j.Done.Len() == 0 && float64(c.now.Wall-j.Accepted) > holdAfter*c.policy.TimeoutS*1000:
+		return 0
+	case j.Kind == job.Gang && j.DeadlineS == 0:
 		return c.holdsFrom(j)
 	}
 	return dueAt(j)
