--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -147,13 +148,13 @@
 	w := idleWorld(t, 60)
 	w.rng = rand.New(rand.NewPCG(seed, 23))
 	w.racing = true
-	var open []string
+	var open, all []string
 	for n := range 14 {
 		w.taskTime = []time.Duration{8 * time.Second, 90 * time.Second}[w.rng.IntN(2)]
 		for _, team := range []string{"red", "blue", "free"} {
 			id := fmt.Sprintf("req-%s-%d", team, n)
 			if w.submit(w.informed(), id, 4+w.rng.IntN(6), "").Status == 201 {
-				open = append(open, id)
+				open, all = append(open, id), append(all, id)
 			}
 		}
 		w.disturb()
@@ -166,17 +167,52 @@
 	}
 	w.heal()
 	clear(w.unreached)
-	w.run(time.Minute, nil)
+	w.isKnown(all, 75*time.Second)
 	for _, id := range open {
 		if s, ok := w.state(id); ok && s.State != "done" {
 			t.Errorf("%s is %s", id, s.State)
 		}
 	}
+	begun := func() bool {
+		return !slices.ContainsFunc(open, func(id string) bool { return w.startsOf(id) == 0 })
+	}
+	if !w.run(4*time.Minute, begun) {
+		t.Errorf("jobs do not begin within four minutes once all troubles are over")
+	}
 	if !w.run(20*time.Minute, w.finished(open...)) {
 		t.Errorf("jobs do not end once all troubles have")
 	}
 }
 
+// isKnown checks that each job is answered by some controller within that time.
+func (w *world) isKnown(ids []string, within time.Duration) {
+	w.t.Helper()
+	asked := map[uint64]string{}
+	known := map[string]bool{}
+	for end := w.now + within; w.now < end && len(known) < len(ids); w.run(5*time.Second, nil) {
+		for _, id := range ids {
+			node := w.names[w.rng.IntN(len(w.names))]
+			if !known[id] {
+				w.nextReq++
+				asked[w.nextReq] = id
+				w.send(node, Status{Req: w.nextReq, ID: id})
+			}
+		}
+		w.run(2*time.Second, nil)
+		for req, id := range asked {
+			switch a := w.answers[req]; a.Status {
+			case http.StatusOK:
+				known[id] = true
+			case http.StatusNotFound:
+				w.t.Errorf("%s was accepted and is not known", id)
+			}
+		}
+	}
+	if len(known) < len(ids) {
+		w.t.Errorf("of %d jobs %d are answered within %v", len(ids), len(known), within)
+	}
+}
+
 // disturb causes one trouble, or ends all.
 func (w *world) disturb() {
 	node := w.names[w.rng.IntN(len(w.names))]
