--- a/internal/core/endofday_test.go
+++ b/internal/core/endofday_test.go
@@ -171,14 +171,13 @@
 			w.started("req-free-1", 60)
 			for _, n := range w.names[:alone] {
 				w.noStore(n)
-				w.send(n, StoreHealth{})
 				w.refuse(func(f, t string) bool { return f == n || t == n })
+				w.confirmsNothing(n) // it does not know yet
+				w.send(n, StoreHealth{})
 			}
 			w.run(40*time.Second, nil)
 			for _, n := range w.names[:alone] {
-				if a := w.status(n, "req-free-1"); a.Status != http.StatusServiceUnavailable {
-					t.Errorf("%s answers %d", n, a.Status)
-				}
+				w.confirmsNothing(n)
 			}
 			if n := w.onMachines("req-free-1"); len(w.workers) != 30 || n != 60 {
 				t.Errorf("%d of 30 machines and %d of 60 tasks are left", len(w.workers), n)
@@ -190,6 +189,20 @@
 	}
 }
 
+// confirmsNothing checks that a controller without the state service turns all users away.
+func (w *world) confirmsNothing(node string) {
+	w.t.Helper()
+	for what, a := range map[string]Answer{
+		"question":     w.status(node, "req-free-1"),
+		"cancellation": w.cancelJob(node, "req-free-1"),
+		"submission":   w.submit(node, "req-free-2", 4, ""),
+	} {
+		if a.Status != http.StatusServiceUnavailable {
+			w.t.Errorf("%s answers a %s with %d", node, what, a.Status)
+		}
+	}
+}
+
 // In a zone that is cut off no worker could be heard elsewhere.
 func TestNoWorkerIsSentOnInAZoneThatIsCutOff(t *testing.T) {
 	c := New(testSettings("a"), settings.DefaultPolicy(), "a1")
