--- a/internal/core/aside.go
+++ b/internal/core/aside.go
@@ -165,11 +165,11 @@
 }
 
 // room is a host with room for some services, now or once the arrays on it have ended,
-// which take ending CPUs.
+// which take ending thousandths of CPUs: whole numbers add up alike in any order.
 type room struct {
 	host   *placement.Host
 	slots  int
-	ending float64
+	ending int
 }
 
 // rooms lists the hosts that services may be kept room on, those that have it now first.
@@ -185,7 +185,7 @@
 			for ref := range load.Tasks {
 				if ref.Job.Kind == job.Array {
 					free = free.Plus(ref.Job.Need, 1)
-					r.ending += ref.Job.Need.CPUs
+					r.ending += int(1000 * ref.Job.Need.CPUs)
 				}
 			}
 			r.slots = placement.Fit(s.Need, free)
