Tell all controllers of a confirmed cancellation, and end its tasks whatever else is out

Need: the state service refuses the leading controller alone, another confirms cancellations, then it is down for all, longer than cancel_s, while workers report to the old leader.

Change: a word says that the store holds a cancellation; it is passed on until each controller knows (its answer, or a replica past it), users are told once a second controller knows, reports alone suffice to stop. Whoever knows has machines given back whose controller is not known to know, itself where there is no renter and no store. A controller that can't prove by an own answer of the store or by the others' answers to its beats that it knows all turns workers away while the cloud refuses to act. Messages over a third node go by one that says it has a link. The test world tells controllers of an outage, gives the stored state to none while it lasts, and has slow watches and messages in flight.

Ruled out: turning workers away whenever a cancellation may be unknown (it ends the work of a cut zone), and knowledge listed in beats (acknowledgements do).

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strings"
 	"time"
 
@@ -25,6 +26,8 @@
 	http  *httpc.Client
 	queue chan func()
 	pause time.Duration
+	// refuses is set while the cloud answers that it does not act.
+	refuses bool
 }
 
 // New makes a Cloud that tells emit what it learns.
@@ -64,11 +67,25 @@
 	return c.http.Call(method, c.cfg.Services.Cloud, path, body, out)
 }
 
+// note tells the core when the cloud stops or starts to act. A rental that is refused
+// for want of machines says nothing of the kind, and no answer at all may be the
+// network's doing.
+func (c *Cloud) note(status int, err error) {
+	refuses := status == fasthttp.StatusServiceUnavailable
+	if err == nil && refuses != c.refuses && (refuses || status == fasthttp.StatusOK) {
+		c.refuses = refuses
+		slog.Info("cloud", "acts", !refuses)
+		c.emit(core.CloudHealth{OK: !refuses})
+	}
+}
+
 // Catalog reads the machine types.
 func (c *Cloud) Catalog() {
 	c.enqueue(func() {
 		var cat protocol.Catalogue
-		if status, err := c.call(fasthttp.MethodGet, protocol.PathTypes, nil, &cat); err == nil && status == fasthttp.StatusOK && len(cat.Types) > 0 {
+		status, err := c.call(fasthttp.MethodGet, protocol.PathTypes, nil, &cat)
+		c.note(status, err)
+		if err == nil && status == fasthttp.StatusOK && len(cat.Types) > 0 {
 			c.emit(core.CatalogIn{Types: cat.Types})
 		}
 	}, func() {})
@@ -134,6 +151,7 @@
 func (c *Cloud) Release(machines []string) {
 	c.enqueue(func() {
 		status, err := c.call(fasthttp.MethodPost, protocol.PathRelease, protocol.MachineNames{Machines: machines}, nil)
+		c.note(status, err)
 		c.emit(core.Released{Machines: machines, OK: err == nil && status == fasthttp.StatusOK})
 	}, func() { c.emit(core.Released{Machines: machines}) })
 }
--- a/internal/core/apart.go
+++ b/internal/core/apart.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -63,7 +64,7 @@
 func (c *Core) cutFrom(node string) bool {
 	p := c.peers[node]
 	_, live := c.nodes[node]
-	return p != nil && live && (p.missesMe || !c.hears(node))
+	return p != nil && live && (slices.Contains(p.misses, c.cfg.Node) || !c.hears(node))
 }
 
 // isApart tells whether that is so of any controller.
@@ -153,8 +154,9 @@
 // the one before.
 func (c *Core) boardBeat() json.RawMessage {
 	c.nextID++
-	return raw(boardBeat{Number: c.nextID, NodeBeat: NodeBeat{StoreOK: c.storeOK, Due: c.budget.due,
-		Misses: c.missed(), Records: c.ownRecords()}})
+	b := c.signOfLife()
+	b.Records = c.ownRecords()
+	return raw(boardBeat{Number: c.nextID, NodeBeat: b})
 }
 
 type boardBeat struct {
--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -52,6 +52,10 @@
 // no more than one.
 func (c *Core) inquire(id string, tell func(finding, protocol.JobState)) {
 	if s, ok := c.finals[id]; ok {
+		if w := c.untold[id]; w != nil {
+			w.waiting = append(w.waiting, question{id: id, tell: tell, at: c.now.Steady})
+			return
+		}
 		tell(final, s)
 		return
 	}
@@ -175,8 +179,15 @@
 	if k.State == protocol.Done {
 		s.Done = k.Tasks
 	}
-	c.remember(id, s)
-	tellAll(qs, final, s)
+	if k.State == protocol.Cancelled {
+		c.cancelKnown(Word{Job: id, Revision: r.Item.Version})
+		c.announceCancel(id)
+	} else {
+		c.remember(id, s)
+	}
+	for _, q := range qs {
+		c.inquire(id, q.tell)
+	}
 }
 
 func tellAll(qs []question, f finding, s protocol.JobState) {
--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -17,15 +19,15 @@
 	At int64 `json:"t,omitempty"`
 }
 
-// cancelWritten notes a cancellation that the store tells of.
-func (c *Core) cancelWritten(id string, value json.RawMessage) error {
+// cancelWritten notes a cancellation that the watch tells of.
+func (c *Core) cancelWritten(item protocol.KeyValue) error {
 	var k cancelMark
-	if err := json.Unmarshal(value, &k); err != nil {
+	if err := json.Unmarshal(item.Value, &k); err != nil {
 		return err
 	}
+	id := strings.TrimPrefix(item.Key, keyCancel)
 	c.withdrawn[id] = k.At
-	c.remember(id, protocol.JobState{ID: id, State: protocol.Cancelled})
-	c.markCancelled(c.jobs[id])
+	c.cancelKnown(Word{Job: id, Revision: item.Version, Asked: k.At})
 	return nil
 }
 
@@ -36,6 +38,9 @@
 	}
 	j.Cancel()
 	j.CancelledAt, j.CancelAsked = c.now.Steady, c.withdrawn[j.ID]
+	if w := c.words[j.ID]; w != nil {
+		j.CancelledAt, j.CancelAsked = w.at, w.Asked
+	}
 	for i, b := range ordered(j.Bound) {
 		if !b.Stored && !j.InFlight {
 			c.unbind(j, i)
@@ -48,7 +53,8 @@
 // cancelled tells whether a job is known to be cancelled.
 func (c *Core) cancelled(id string) bool {
 	j := c.jobs[id]
-	return j != nil && j.Cancelled || c.finals[id].State == protocol.Cancelled
+	_, withdrawn := c.withdrawn[id]
+	return withdrawn || j != nil && j.Cancelled || c.words[id] != nil || c.finals[id].State == protocol.Cancelled
 }
 
 // stopForOthers stops the cancelled jobs of a team that has its home elsewhere.
@@ -66,7 +72,7 @@
 // connections, and tasks ran on past the time allowed. Where stopping does not
 // help the machine is given back.
 func (c *Core) stopCancelled(j *job.Job) {
-	home, late := c.mine(j), c.lateToStop(j)
+	home := c.mine(j)
 	for i, b := range ordered(j.Bound) {
 		if !b.Stored {
 			continue
@@ -74,19 +80,67 @@
 		if home || c.own[b.Machine] != nil {
 			c.stop(j, i, b, 0)
 		}
-		if late && c.answersFor(j, i, b) {
-			c.condemn(b.Machine, "cancelled task does not end")
+		if c.mayRunOn(j, i, b) {
+			c.giveBack(j, b.Machine)
 		}
 	}
 }
 
-// lateToStop tells whether half of the time that a cancellation may take has gone
-// by here, or three quarters of it in all: controllers that start over in the
-// middle of it begin to count anew.
-func (c *Core) lateToStop(j *job.Job) bool {
-	allowed := seconds(c.cfg.Params.Workers.CancelS)
-	return c.now.Steady-j.CancelledAt > allowed/2 ||
-		j.CancelAsked > 0 && time.Duration(c.now.Wall-j.CancelAsked)*time.Millisecond > allowed*3/4
+// mayRunOn tells whether a task of a cancelled job may still be on its machine. It is not
+// where that is proved, nor for as long as a controller that knows of the cancellation,
+// and is heard, reports the machine without it: should a start still come, it is stopped.
+func (c *Core) mayRunOn(j *job.Job, i int, b *job.Binding) bool {
+	m, task := c.machines[b.Machine], j.TaskID(i)
+	switch {
+	case c.marks[b.Machine].Gone || c.sched.returned[b.Machine]:
+		return false
+	case m == nil:
+		return true
+	}
+	verdict, _ := m.Judge(task, b)
+	if verdict == worker.Open && c.words[j.ID] != nil {
+		_, there := m.Find(task, b.Attempt)
+		fresh := c.hears(m.Node) && c.now.Steady-m.Seen < 2*c.reportInterval()
+		return there || !fresh || c.unaware(j.ID, b.Machine)
+	}
+	return verdict == worker.Open || verdict == worker.Present
+}
+
+// giveBack has a machine given back on which a task of a cancelled job does not end, by
+// the renter or by a mark, or by this node itself while neither may help.
+func (c *Core) giveBack(j *job.Job, machine string) {
+	unaware := c.unaware(j.ID, machine)
+	part := c.allowed() / 2
+	if unaware {
+		part = min(part, c.blindTime()*3/4)
+	}
+	if unaware && c.late(j, part) || c.late(j, part) && c.answersFor(j, machine) {
+		c.condemn(machine, unended)
+	}
+	if c.nobodyRents() && c.late(j, part+c.turnToAct()) {
+		c.release(machine)
+	}
+}
+
+// unended is why a machine with a cancelled task is given back.
+const unended = "cancelled task does not end"
+
+// late tells whether so much of the time that a cancellation may take has gone by here,
+// or half as much again in all: controllers that start over in the middle of it begin to
+// count anew.
+func (c *Core) late(j *job.Job, part time.Duration) bool {
+	return c.now.Steady-j.CancelledAt > part ||
+		j.CancelAsked > 0 && time.Duration(c.now.Wall-j.CancelAsked)*time.Millisecond > part*3/2
+}
+
+// allowed is the time that a cancellation may take.
+func (c *Core) allowed() time.Duration { return seconds(c.cfg.Params.Workers.CancelS) }
+
+// unaware tells whether a machine's controller is not known to know of a cancellation, so
+// that nobody may be stopping its tasks there.
+func (c *Core) unaware(id, machine string) bool {
+	m, w := c.machines[machine], c.words[id]
+	return w != nil && (m == nil || !c.knows(m.Node, w))
 }
 
 // answersFor tells whether it is for this node to have a machine given back for a
@@ -94,18 +148,46 @@
 // answers for machines whose controller it reaches too, or that nobody is known to
 // hear. It leaves alone those of a live controller that it does not: they may
 // have stopped long ago.
-func (c *Core) answersFor(j *job.Job, i int, b *job.Binding) bool {
-	m := c.machines[b.Machine]
+func (c *Core) answersFor(j *job.Job, machine string) bool {
+	m := c.machines[machine]
 	if m == nil {
 		return c.mine(j)
 	}
-	if verdict, _ := m.Judge(j.TaskID(i), b); verdict == worker.Absent || verdict == worker.Ended {
-		return false
-	}
 	_, live := c.nodes[m.Node]
 	return m.Node == c.cfg.Node || c.mine(j) && (c.reaches(m.Node) || !live)
 }
 
+// nobodyRents tells whether there may be no renter, and a mark for the next one can't be
+// stored: the state service does not answer, or the renter is gone. Then whoever knows
+// of a cancellation gives machines back itself. To the others it is as if the cloud had
+// taken them without notice; the renter finds that out from its list.
+func (c *Core) nobodyRents() bool { return !c.storeOK || c.fleet.home == "" }
+
+// turnToAct keeps controllers from all giving the same machine back at once: each waits
+// for its turn, a sixteenth of the time allowed in all, and the cloud has few requests.
+func (c *Core) turnToAct() time.Duration {
+	turn := slices.Index(c.roster, c.cfg.Node)
+	return c.allowed() / 16 * time.Duration(turn) / time.Duration(len(c.roster))
+}
+
+// release gives a machine back without a renter.
+func (c *Core) release(machine string) {
+	if at, ok := c.sched.released[machine]; ok && c.now.Steady-at < c.reportInterval() {
+		return
+	}
+	c.sched.released[machine] = c.now.Steady
+	c.log(Info, "machine is given back without a renter", "machine", machine, "why", unended)
+	c.sched.giveBack = append(c.sched.giveBack, machine)
+}
+
+// releaseAll asks the cloud to take the machines that this node gives back itself.
+func (c *Core) releaseAll() {
+	for names := range slices.Chunk(c.sched.giveBack, protocol.MaxRelease) {
+		c.emit(Release{Machines: names})
+	}
+	c.sched.giveBack = nil
+}
+
 // condemn asks the renter to give a machine back with all that is on it. Where
 // the renter can't be told, a mark in the store tells it of a cancelled task: a
 // rule depends on that one, and any controller may write it, since a mark on a
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -185,7 +185,7 @@
 // beat answers a worker's report.
 func (c *Core) beat(m Beat) {
 	r := &m.Report
-	if c.term.term == 0 || !c.loaded || c.sendsAway(r) {
+	if c.term.term == 0 || !c.loaded || c.proof.unsure {
 		c.unavailable(m.Req)
 		return
 	}
@@ -193,6 +193,10 @@
 		c.answerOutdated(m)
 		return
 	}
+	if c.sendsAway(r) {
+		c.unavailable(m.Req)
+		return
+	}
 	w := c.own[r.Machine]
 	if w == nil || r.Token > w.term {
 		if r.Token > c.term.term {
@@ -304,7 +308,7 @@
 		return "worker does not answer"
 	case s.Revision > 0 && s.Revision <= c.revision && !c.shows(s.Machine, taskAttempt{s.Task, s.Attempt}):
 		return "binding has passed"
-	case c.startsCancelled(s):
+	case c.startsCancelled(s.Task):
 		return "job is cancelled"
 	case !c.fitsNow(s, w):
 		return "no room"
@@ -313,11 +317,23 @@
 }
 
 // startsCancelled tells whether a start is of a cancelled job.
-func (c *Core) startsCancelled(s Start) bool {
-	id, _, _ := job.SplitTask(s.Task)
+func (c *Core) startsCancelled(task string) bool {
+	id, _, _ := job.SplitTask(task)
 	return c.cancelled(id)
 }
 
+// dropCancelled takes back what waits to be started of jobs that have been cancelled
+// since: a stop that goes out with it would come before it.
+func (c *Core) dropCancelled(w *control) {
+	w.queue = slices.DeleteFunc(w.queue, func(cmd protocol.Command) bool {
+		drop := c.startsCancelled(cmd.Task)
+		if drop {
+			delete(w.sent, taskAttempt{cmd.Task, cmd.Attempt})
+		}
+		return drop
+	})
+}
+
 // fitsNow checks the room on the machine as its newest report and the starts
 // on their way show it.
 func (c *Core) fitsNow(s Start, w *control) bool {
@@ -357,6 +373,7 @@
 	if w.busy || len(w.queue) == 0 && len(w.orders) == 0 && !w.probe {
 		return
 	}
+	c.dropCancelled(w)
 	commands := append(w.takeOrders(), w.queue...)
 	w.queue, w.busy, w.probe = nil, true, false
 	c.emit(Deliver{Machine: id, Address: w.address,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,7 +28,7 @@
 	now     Now
 	effects []Effect
 	nextID  uint64
-	waits   map[uint64]func(StoreReply)
+	waits   map[uint64]wait
 
 	// Replica of the store.
 	loaded   bool
@@ -49,6 +49,11 @@
 	// withdrawn mirrors the cancellations of jobs that are not final, with the time
 	// of day of each.
 	withdrawn map[string]int64
+	// words are the cancellations that are passed on to other controllers, wordOrder
+	// names them from the oldest; untold are those that no user has been told of yet.
+	words     map[string]*word
+	wordOrder []string
+	untold    map[string]*word
 	// goneAt holds the revisions that ended jobs.
 	goneAt map[string]uint64
 	// sites mirrors the hand-offs to and from other sites.
@@ -78,6 +83,7 @@
 
 	peers   map[string]*peerState
 	storeOK bool
+	proof   proof
 	apart   apart
 	lonely  lonely
 	tally   *tally.Tally
@@ -92,7 +98,7 @@
 
 // timers hold the next time of each periodic duty.
 type timers struct {
-	last, beat, share, gossip, short, spread, record, homes, settle, fleet, forget, catalog, list, vacate, told time.Duration
+	last, beat, share, gossip, short, spread, record, homes, settle, fleet, forget, catalog, list, vacate, told, stop time.Duration
 }
 
 // team is the state of one team, whoever is its home.
@@ -118,10 +124,10 @@
 func New(cfg *settings.Settings, policy settings.Policy, inc string) *Core {
 	c := &Core{
 		cfg: cfg, policy: policy, inc: inc,
-		waits: map[uint64]func(StoreReply){}, nodes: map[string]nodeKey{},
+		waits: map[uint64]wait{}, nodes: map[string]nodeKey{},
 		teamBy: map[string]*team{}, jobs: map[string]*job.Job{},
 		orphans: map[string]map[int]protocol.KeyValue{}, marks: map[string]mark{},
-		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, withdrawn: map[string]int64{}, goneAt: map[string]uint64{},
+		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, withdrawn: map[string]int64{}, words: map[string]*word{}, untold: map[string]*word{}, goneAt: map[string]uint64{},
 		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{}, decided: map[string]*decisions{}, zoneSeen: map[string]time.Duration{},
 		peers: map[string]*peerState{}, storeOK: true,
 		sites: newSiteRecords(), sched: newSchedState(), rental: newRentState(), spread: newSpread(), term: termState{own: map[uint64]bool{}}, apart: apart{read: map[string]*reading{}}, tally: tally.New(),
@@ -177,9 +183,10 @@
 	case Beat:
 		c.beat(m)
 	case StoreReply:
-		if done := c.waits[m.ID]; done != nil {
+		if w, waits := c.waits[m.ID]; waits {
 			delete(c.waits, m.ID)
-			done(m)
+			c.answered(w.since, m)
+			w.done(m)
 		}
 	case Loaded:
 		c.load(m)
@@ -203,6 +210,8 @@
 		c.catalogIn(m)
 	case ListIn:
 		c.listIn(m)
+	case CloudHealth:
+		c.proof.trouble = !m.OK
 	case Rented:
 		c.rented(m)
 	case Released:
@@ -235,6 +244,7 @@
 func (c *Core) periodic() {
 	report := c.reportInterval()
 	c.integrate()
+	c.tellUsers()
 	if c.every(&c.timers.beat, report/3) {
 		c.nodeBeat()
 	}
@@ -245,6 +255,8 @@
 		c.tendHomes()
 	}
 	if c.loaded && c.every(&c.timers.settle, report/3) {
+		c.tendWords()
+		c.tendProof()
 		c.settleAll()
 		c.tendControls()
 		c.forgetDecisions()
@@ -297,10 +309,16 @@
 	c.emit(StoreGet{ID: c.await(done), Key: key})
 }
 
+// wait is who waits for a reply of the state service, and since when.
+type wait struct {
+	since time.Duration
+	done  func(StoreReply)
+}
+
 // await numbers a request whose reply done takes.
 func (c *Core) await(done func(StoreReply)) uint64 {
 	c.nextID++
-	c.waits[c.nextID] = done
+	c.waits[c.nextID] = wait{c.now.Steady, done}
 	return c.nextID
 }
 
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -226,6 +226,11 @@
 // released notes the cloud's word that machines are gone, which ends all that
 // was bound to them.
 func (c *Core) released(m Released) {
+	for _, id := range m.Machines {
+		if _, mine := c.sched.released[id]; mine && m.OK {
+			c.sched.returned[id] = true
+		}
+	}
 	if !c.fleet.acting {
 		return
 	}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -123,7 +123,7 @@
 	case Applied:
 		c.updateApplied(u, r.Revision)
 	case Conflict:
-		c.updateConflict(u, r.Failed)
+		c.updateConflict(u, r)
 	case Unknown:
 		// It may still be applied late. Sending the same again settles it:
 		// either this one is applied and voids the first, or its conflict
@@ -168,8 +168,8 @@
 
 // updateConflict finds out which condition failed. A failed head is either
 // this very update, applied by an earlier send, or another home's.
-func (c *Core) updateConflict(u *update, failed []string) {
-	j := u.job
+func (c *Core) updateConflict(u *update, r StoreReply) {
+	j, failed := u.job, r.Failed
 	head := activeKey(j.ID)
 	if slices.Contains(failed, head) || slices.Contains(failed, u.team.key) {
 		c.get(head, func(r StoreReply) { c.headRead(u, r) })
@@ -177,7 +177,7 @@
 	}
 	u.undo()
 	if slices.Contains(failed, cancelKey(j.ID)) {
-		c.markCancelled(j)
+		c.cancelKnown(Word{Job: j.ID, Revision: r.Revision})
 	}
 	if slices.Contains(failed, awayKey(j.ID)) {
 		c.handedOff(j)
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -121,6 +121,8 @@
 	CatalogIn struct{ Types []protocol.MachineType }
 	// ListIn is the cloud's complete list of machines.
 	ListIn struct{ Machines []protocol.ListedMachine }
+	// CloudHealth tells whether the cloud acts, or refuses because of an outage.
+	CloudHealth struct{ OK bool }
 	// Rented answers Rent. Outcome is Applied, Refused (no capacity) or Unknown.
 	Rented struct {
 		Rental   protocol.Rental
@@ -222,6 +224,8 @@
 	Condemn      *Condemn           `json:"x,omitempty"`
 	Beat         *NodeBeat          `json:"b,omitempty"`
 	Site         *SiteNote          `json:"g,omitempty"`
+	Words        []Word             `json:"w,omitempty"`
+	Known        []string           `json:"a,omitempty"`
 }
 
 // SiteNote is what controllers say to one another about the gateway. One of its
@@ -337,7 +341,9 @@
 
 // NodeBeat is a controller's sign of life with its records of its teams.
 type NodeBeat struct {
-	StoreOK bool `json:"s"`
+	// Revision is how far the replica is: it has each cancellation up to there.
+	Revision uint64 `json:"v,omitempty"`
+	StoreOK  bool   `json:"s"`
 	// Due is how many changes of jobs wait to be stored, by rank.
 	Due     ranks                      `json:"d"`
 	Records map[string]fairness.Record `json:"r,omitempty"`
@@ -345,8 +351,15 @@
 	Heard []string `json:"h,omitempty"`
 	// Seqs are the sequence numbers of their newest reports, in the same order.
 	Seqs []uint64 `json:"q,omitempty"`
+	// Stamp tells this beat from others, Echoes are the newest beats of the others that
+	// came here, Owes names those to whom this node has words to pass on.
+	Stamp  string   `json:"n,omitempty"`
+	Echoes []Echo   `json:"e,omitempty"`
+	Owes   []string `json:"w,omitempty"`
 	// Misses names the live controllers that this node does not hear.
 	Misses []string `json:"m,omitempty"`
+	// Cut names the controllers that this node has no link to.
+	Cut []string `json:"u,omitempty"`
 }
 
 // Now is the time of one step: Steady for intervals, Wall (milliseconds) for
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -16,8 +16,13 @@
 	seen      time.Duration
 	// due is how many changes of jobs wait there to be stored.
 	due ranks
-	// missesMe is set while it says that it does not hear this node.
-	missesMe bool
+	// revision is how far its replica has been.
+	revision uint64
+	// stamp is its newest beat here; up to sure it has told all that it knew of.
+	stamp string
+	sure  time.Duration
+	// misses are the nodes that it says it does not hear, cut those that it can't send to.
+	misses, cut []string
 }
 
 // hears tells whether a controller has given a sign of life lately, directly or
@@ -52,12 +57,26 @@
 		return
 	}
 	m.To, m.From = node, c.cfg.Node
+	if third := c.thirdTo(node); third != "" {
+		c.emit(SendPeer{Nodes: []string{third}, Msg: m})
+	}
+}
+
+// thirdTo names the node over which to reach one that can't be reached: if there is one,
+// a node that has said it can send to it.
+func (c *Core) thirdTo(node string) (third string) {
 	for _, other := range c.cfg.Peers {
-		if q := c.peers[other.Node]; other.Node != node && q.connected {
-			c.emit(SendPeer{Nodes: []string{other.Node}, Msg: m})
-			return
+		if other.Node == node || !c.peers[other.Node].connected {
+			continue
+		}
+		if !slices.Contains(c.peers[other.Node].cut, node) {
+			return other.Node
+		}
+		if third == "" {
+			third = other.Node
 		}
 	}
+	return third
 }
 
 // peerUp tells a controller that can be reached again all that it missed.
@@ -162,13 +181,17 @@
 		c.nodeBeatIn(from, *m.Beat)
 	case m.Site != nil:
 		c.siteNote(from, *m.Site)
+	case m.Words != nil:
+		c.wordsIn(from, m.Words)
+	case m.Known != nil:
+		c.knownIn(from, m.Known)
 	}
 }
 
 // nodeBeat sends this node's sign of life, with the records of its teams every
 // record interval.
 func (c *Core) nodeBeat() {
-	b := NodeBeat{StoreOK: c.storeOK, Due: c.budget.due, Misses: c.missed()}
+	b := c.signOfLife()
 	if c.every(&c.timers.share, recordInterval) {
 		b.Records = c.ownRecords()
 	}
@@ -181,6 +204,18 @@
 	c.broadcast(PeerMsg{Beat: &b})
 }
 
+// signOfLife is what a beat says by whichever way it goes.
+func (c *Core) signOfLife() NodeBeat {
+	b := NodeBeat{Revision: c.revision, StoreOK: c.storeOK, Due: c.budget.due, Misses: c.missed(), Stamp: c.stamp()}
+	b.Echoes, b.Owes = c.echoes()
+	for _, other := range c.cfg.Peers {
+		if !c.peers[other.Node].connected {
+			b.Cut = append(b.Cut, other.Node)
+		}
+	}
+	return b
+}
+
 // ownRecords are the records of the teams that this node is home of, by which it
 // ranks from now on as the others do.
 func (c *Core) ownRecords() map[string]fairness.Record {
@@ -199,8 +234,11 @@
 	if p == nil {
 		return
 	}
+	p.revision = max(p.revision, b.Revision)
+	p.stamp = b.Stamp
+	c.echoed(p, &b)
 	p.storeOK, p.due = b.StoreOK, b.Due
-	p.missesMe = slices.Contains(b.Misses, c.cfg.Node)
+	p.misses, p.cut = b.Misses, b.Cut
 	for name, r := range b.Records {
 		if t := c.teamBy[name]; t != nil && !t.acting {
 			t.record, t.ranked = r, r
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -25,6 +25,10 @@
 		c.written(item)
 	}
 	c.revision = max(c.revision, m.Revision)
+	c.caughtUp()
+	if !c.loaded {
+		c.checkLease()
+	}
 	c.loaded = true
 	c.log(Info, "state loaded", "keys", len(m.Items), "revision", m.Revision)
 	c.enroll()
@@ -84,6 +88,7 @@
 		}
 	}
 	c.revision = max(c.revision, m.Revision)
+	c.caughtUp()
 }
 
 // written applies a stored value to the replica.
@@ -93,7 +98,7 @@
 	case strings.HasPrefix(key, keyActive):
 		err = c.jobWritten(item)
 	case strings.HasPrefix(key, keyCancel):
-		err = c.cancelWritten(strings.TrimPrefix(key, keyCancel), item.Value)
+		err = c.cancelWritten(item)
 	case key == keyFleet, key == keyGate, strings.HasPrefix(key, keyHome):
 		err = c.homeWritten(item)
 	case strings.HasPrefix(key, keyBoard):
@@ -206,7 +211,7 @@
 	j.Version = item.Version
 	if c.jobs[id] == nil {
 		c.addJob(t, j)
-		if _, withdrawn := c.withdrawn[id]; withdrawn {
+		if c.cancelled(id) {
 			// A deposed home forgets its jobs in the middle of the news; one that was
 			// cancelled before must not come back as if it were not, and be taken for
 			// done at its end (docs/incidents/apart.md).
@@ -279,6 +284,7 @@
 		clear(c.goneAt)
 	}
 	c.goneAt[id] = revision
+	delete(c.words, id)
 }
 
 // remember caches a final state, which never changes.
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -26,6 +26,11 @@
 	deliver    map[string]bool
 	asked      map[string]bool
 	condemned  map[string]time.Duration
+	// released is when this node last gave a machine back without a renter, returned
+	// holds those that the cloud has taken, giveBack those to ask for next.
+	released map[string]time.Duration
+	returned map[string]bool
+	giveBack []string
 	// unplaced is the demand that found no room in the last round.
 	unplaced []fleet.Demand
 	// starved holds this node's jobs among them.
@@ -50,7 +55,8 @@
 }
 
 func newSchedState() schedState {
-	return schedState{deliver: map[string]bool{}, asked: map[string]bool{}, condemned: map[string]time.Duration{}}
+	return schedState{deliver: map[string]bool{}, asked: map[string]bool{}, condemned: map[string]time.Duration{},
+		released: map[string]time.Duration{}, returned: map[string]bool{}}
 }
 
 // integrate adds the time since the last step to the records of this node's
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -265,6 +265,7 @@
 			}
 		}
 	}
+	c.releaseAll()
 }
 
 func (c *Core) tendBinding(j *job.Job, i int, b *job.Binding) {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -269,11 +269,10 @@
 	}, func(r StoreReply) {
 		switch r.Outcome {
 		case Applied:
-			s := protocol.JobState{ID: m.ID, State: protocol.Cancelled}
-			c.remember(m.ID, s)
 			c.log(Debug, "job cancelled", "job", m.ID)
-			c.markCancelled(c.jobs[m.ID])
-			c.answer(m.Req, http.StatusOK, s)
+			c.cancelKnown(Word{Job: m.ID, Revision: r.Revision, Asked: c.now.Wall})
+			c.announceCancel(m.ID)
+			c.inquire(m.ID, func(f finding, s protocol.JobState) { c.found(m.Req, f, s) })
 		case Conflict:
 			if slices.Contains(r.Failed, awayKey(m.ID)) {
 				c.cancelAway(m)
--- /dev/null
+++ b/internal/core/words_test.go
@@ -0,0 +1,205 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
+)
+
+// What proves up to when a controller knows of all confirmed cancellations: an answer of
+// the state service once the replica has reached it, and beats that answer own beats.
+func TestWhatProvesThatNoCancellationIsUnknown(t *testing.T) {
+	const sent, later = 10 * time.Second, 20 * time.Second
+	beat := func(b NodeBeat) func(c *Core) {
+		return func(c *Core) {
+			c.peers["c"].sure = later
+			c.nodeBeatIn("b", b)
+		}
+	}
+	for name, d := range map[string]struct {
+		happens func(c *Core)
+		want    time.Duration
+	}{
+		"nothing":                        {func(*Core) {}, 0},
+		"a beat that answers":            {beat(NodeBeat{Revision: 5, Echoes: []Echo{{"c", "b.1"}, {"a", "a.1"}}}), sent},
+		"one that answers another's":     {beat(NodeBeat{Revision: 5, Echoes: []Echo{{"c", "a.1"}}}), 0},
+		"one that answers a former run":  {beat(NodeBeat{Revision: 5, Echoes: []Echo{{"a", "x.1"}}}), 0},
+		"one that owes words":            {beat(NodeBeat{Revision: 5, Owes: []string{"a"}, Echoes: []Echo{{"a", "a.1"}}}), 0},
+		"one of a run that has not read": {beat(NodeBeat{Echoes: []Echo{{"a", "a.1"}}}), 0},
+		"one of two others": {func(c *Core) {
+			c.nodeBeatIn("b", NodeBeat{Revision: 5, Echoes: []Echo{{"a", "a.1"}}})
+		}, 0},
+		"an answer of the state service":   {func(c *Core) { c.answered(sent, StoreReply{Outcome: Conflict, Revision: 5}) }, sent},
+		"one that the replica is short of": {func(c *Core) { c.answered(sent, StoreReply{Outcome: Applied, Revision: 6}) }, 0},
+		"the replica gets there": {func(c *Core) {
+			c.answered(sent, StoreReply{Outcome: Applied, Revision: 6})
+			c.watched(Watched{Revision: 6})
+		}, sent},
+		"it gets half way": {func(c *Core) {
+			c.answered(sent, StoreReply{Outcome: Applied, Revision: 8})
+			c.watched(Watched{Revision: 7})
+		}, 0},
+		"a refusal": {func(c *Core) { c.answered(sent, StoreReply{Outcome: Refused, Revision: 5}) }, 0},
+	} {
+		c := New(testSettings("a"), newWorld(t).cores["a"].policy, "a")
+		c.revision, c.now.Steady = 5, sent
+		c.stamp()
+		c.now.Steady = later
+		d.happens(c)
+		if got := c.sureUntil(); got != d.want {
+			t.Errorf("%s: sure until %v, not %v", name, got, d.want)
+		}
+	}
+}
+
+// A start that waits for its delivery, or comes after it, while a word says that its job
+// is cancelled: neither is given, though the job is not known here.
+func TestWordKeepsStartsBack(t *testing.T) {
+	word := Word{Job: "req-free-1", Revision: 3}
+	start := Start{Machine: "vm", Task: "req-free-1/0", Attempt: 1, Term: 1, Session: 1}
+	for name, wordFirst := range map[string]bool{"the word comes first": true, "the start comes first": false} {
+		c := newWorld(t).cores["a"]
+		c.catalogIn(CatalogIn{Types: newWorld(t).types})
+		c.term.own[1] = true
+		w := &control{term: 1, session: 1, sent: map[taskAttempt]job.Resources{}, orders: map[taskAttempt]protocol.Command{}}
+		c.own["vm"] = w
+		m := c.addMachine("vm")
+		m.Machine, m.Type, m.Node = "vm", "small", "a"
+		if wordFirst {
+			c.wordsIn("b", []Word{word})
+		}
+		c.start("b", start)
+		if waits := len(w.queue) > 0; waits == wordFirst {
+			t.Errorf("%s: the start waits: %v", name, waits)
+		}
+		c.wordsIn("b", []Word{word})
+		c.deliver("vm", w)
+		if len(w.queue) > 0 || len(w.sent) > 0 {
+			t.Errorf("%s: %d starts wait, %d were sent", name, len(w.queue), len(w.sent))
+		}
+		for _, e := range c.effects {
+			if d, is := e.(Deliver); is && len(d.Orders.Commands) > 0 {
+				t.Errorf("%s: %+v", name, d.Orders.Commands)
+			}
+		}
+	}
+}
+
+// The acceptance of a job may come after the word that it is cancelled, over a slow link.
+func TestJobThatComesAfterItsWordIsCancelled(t *testing.T) {
+	w := newWorld(t).ready()
+	accepted(t, w.submit("a", "req-free-1", 3, ""))
+	c := New(testSettings("a"), w.cores["a"].policy, "a")
+	c.wordsIn("b", []Word{{Job: "req-free-1", Revision: 99}})
+	c.written(w.kv[activeKey("req-free-1")])
+	if j := c.jobs["req-free-1"]; j == nil || !j.Cancelled {
+		t.Errorf("it is taken for a live one: %+v", j)
+	}
+}
+
+// Words that make no sense change nothing, and what comes with them is taken all the same.
+func TestBadWordsAreIgnored(t *testing.T) {
+	good := Word{Job: "req-good-1", Revision: 7}
+	for name, words := range map[string][]Word{
+		"no id":             {{Job: "../x", Revision: 7}, good},
+		"no revision":       {{Job: "req-free-1"}, good},
+		"job that was done": {{Job: "req-done-1", Revision: 7}, good},
+		"job never seen":    {{Job: "req-never-1", Revision: 7}, good},
+		"said twice":        {good, good},
+	} {
+		c := newWorld(t).cores["a"]
+		c.remember("req-done-1", protocol.JobState{ID: "req-done-1", State: protocol.Done})
+		c.peerIn(PeerIn{Node: "b", Msg: PeerMsg{Words: words}})
+		c.peerIn(PeerIn{Node: "b", Msg: PeerMsg{Known: []string{"req-else-1", good.Job}}})
+		if c.finals["req-done-1"].State != protocol.Done || c.words["req-done-1"] != nil || c.cancelled("req-free-1") || c.cancelled("../x") {
+			t.Errorf("%s: taken", name)
+		}
+		if !c.cancelled(good.Job) {
+			t.Errorf("%s: what was right beside it is not taken", name)
+		}
+	}
+	c := newWorld(t).cores["a"]
+	c.peerIn(PeerIn{Node: "b", Msg: PeerMsg{From: "stranger", Words: []Word{good}}})
+	if c.cancelled(good.Job) {
+		t.Error("the word of an unknown node is taken")
+	}
+}
+
+// However many words come, memory and messages stay bounded.
+func TestWordsAreBounded(t *testing.T) {
+	c := newWorld(t).cores["a"]
+	for i := range 2 * maxWords {
+		c.cancelKnown(Word{Job: fmt.Sprintf("req-many-%d", i), Revision: 9})
+	}
+	if len(c.words) > maxWords || len(c.wordOrder) > maxWords {
+		t.Errorf("%d words are kept", len(c.words))
+	}
+	c.peers["b"].connected = true
+	c.effects = nil
+	c.now.Steady = time.Minute
+	c.passOn("b")
+	if m := c.effects[0].(SendPeer); len(m.Msg.Words) != wordsPerMsg {
+		t.Errorf("a message has %d words", len(m.Msg.Words))
+	}
+	if b := c.signOfLife(); len(b.Owes) != 2 {
+		t.Errorf("it owes words to %v", b.Owes)
+	}
+}
+
+// Where nothing is wrong a cancellation costs one message to each controller, and one back.
+func TestWordsCostNothingWhereAllIsWell(t *testing.T) {
+	w := idleWorld(t, 20)
+	w.racing, w.taskTime = true, 10*time.Minute
+	accepted(t, w.submit("a", "req-free-1", 40, ""))
+	w.started("req-free-1", 40)
+	words, machines := 0, len(w.workers)
+	w.tell = func(_ string, e Effect) {
+		if m, is := e.(SendPeer); is && m.Msg.Words != nil {
+			words += len(m.Nodes)
+		}
+	}
+	w.cancelJob("b", "req-free-1")
+	begin := w.now
+	if !w.run(5*time.Second, func() bool { return w.onMachines("req-free-1") == 0 }) {
+		t.Error("tasks are not gone after 5 s")
+	}
+	t.Logf("gone after %v", w.now-begin)
+	w.run(2*time.Second, nil)
+	if words != len(w.names)-1 || len(w.workers) != machines {
+		t.Errorf("%d messages, of %d machines %d are left", words, machines, len(w.workers))
+	}
+}
+
+// In a rolling upgrade some controllers know neither words nor what is new in beats:
+// users are told in time all the same, tasks end, and no machine is given back for it.
+func TestOldControllersBesideNewOnes(t *testing.T) {
+	for _, old := range [][]string{{"a"}, {"b", "c"}, {"a", "b", "c", "d"}} {
+		t.Run(fmt.Sprint(old), func(t *testing.T) {
+			t.Parallel()
+			w := idleWorld(t, 20)
+			w.old = old
+			w.racing, w.taskTime = true, 10*time.Minute
+			accepted(t, w.submit("e", "req-free-1", 40, ""))
+			w.started("req-free-1", 40)
+			given := 0
+			w.tell = func(_ string, e Effect) {
+				if l, is := e.(Log); is && slices.Contains(l.Attrs, any(unended)) {
+					given++
+				}
+			}
+			begin := w.now
+			w.cancelJob("e", "req-free-1")
+			if w.now-begin > 2*time.Second {
+				t.Errorf("the user waits for %v", w.now-begin)
+			}
+			w.run(w.allowed(), nil)
+			if n := w.onMachines("req-free-1"); n > 0 || given > 0 {
+				t.Errorf("%d tasks are left, %d times a machine was given back", n, given)
+			}
+		})
+	}
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -41,6 +41,8 @@
 	// loseDo holds deliveries back instead of carrying them out.
 	loseDo bool
 	held   []Deliver
+	// lateWrite lets the next transaction get no answer and be carried out that late.
+	lateWrite time.Duration
 	// unknown makes transactions be applied without an answer.
 	unknown int
 
@@ -93,6 +95,23 @@
 	past    []Beat
 	// noCloud keeps the cloud from taking machines back.
 	noCloud bool
+	// dark is since when the state service answers a controller nothing, as it notices
+	// after a report interval; blind holds those that have.
+	dark  map[string]time.Duration
+	blind map[string]bool
+	// watchLag is the pause between two watches of a controller, watchedAt its last.
+	watchLag  time.Duration
+	watchedAt map[string]time.Duration
+	// unread holds the controllers that wait for the stored state.
+	unread map[string]bool
+	// later holds what goes on beside, until it says that it is over.
+	later []func() bool
+	// latency keeps messages between controllers flying from one tick to the next; those
+	// of a controller that ends are lost.
+	latency bool
+	flying  []flight
+	// old are controllers of the release before, which know less of messages.
+	old []string
 	// told is when the user of a job was told that it is cancelled.
 	told map[string]time.Duration
 }
@@ -100,6 +119,12 @@
 // link is one direction between two controllers.
 type link struct{ from, to string }
 
+// flight is a message on its way.
+type flight struct {
+	link
+	msg PeerMsg
+}
+
 // fakeWorker follows the worker's side of the protocol.
 type fakeWorker struct {
 	protocol.Report
@@ -141,7 +166,7 @@
 		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{}, broken: map[string]bool{}, faulty: map[string]bool{},
 		deaf: map[string]bool{}, redirected: map[string]int{},
 		cfg: map[string]*settings.Settings{}, names: names, most: 40, taskTime: 5 * time.Second,
-		refused: map[link]bool{}, slow: map[link]bool{}, late: map[link][]PeerMsg{}, frozen: map[string]bool{}, unreached: map[string]bool{}, unhearing: map[string]bool{}, unheardBy: map[link]bool{}, told: map[string]time.Duration{}}
+		refused: map[link]bool{}, slow: map[link]bool{}, late: map[link][]PeerMsg{}, frozen: map[string]bool{}, unreached: map[string]bool{}, unhearing: map[string]bool{}, unheardBy: map[link]bool{}, dark: map[string]time.Duration{}, blind: map[string]bool{}, unread: map[string]bool{}, watchedAt: map[string]time.Duration{}, told: map[string]time.Duration{}}
 	w.types = []protocol.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"z1", "z2"}},
 	}
@@ -160,10 +185,12 @@
 		w.cores[node].Join(g)
 	}
 	w.inbox[node] = nil
-	w.load(node)
-	lease := w.nextReq
-	w.leases[lease] = node
-	w.send(node, LeaseUp{Lease: lease})
+	delete(w.dark, node)
+	delete(w.blind, node)
+	if w.unread[node] = true; !w.outage && !w.cut[node] {
+		w.read(node)
+	}
+	w.grant(node)
 	for _, other := range w.names {
 		if w.cores[other] != nil && other != node {
 			w.connect(node, other)
@@ -172,6 +199,16 @@
 	}
 }
 
+// grant gives a controller a lease, which ends at once while it is refused.
+func (w *world) grant(node string) {
+	if w.outage || w.cut[node] {
+		return
+	}
+	w.nextReq++
+	w.leases[w.nextReq] = node
+	w.send(node, LeaseUp{Lease: w.nextReq})
+}
+
 // connect tells a controller that it can send to another, unless it can't.
 func (w *world) connect(from, to string) {
 	if !w.refused[link{from, to}] {
@@ -229,14 +266,13 @@
 func (w *world) withStore(node string) {
 	delete(w.cut, node)
 	w.send(node, LeaseDown{})
-	w.nextReq++
-	w.leases[w.nextReq] = node
-	w.send(node, LeaseUp{Lease: w.nextReq})
+	w.grant(node)
 }
 
 // crash ends a controller; expire ends its lease.
 func (w *world) crash(node string) {
 	delete(w.cores, node)
+	w.flying = slices.DeleteFunc(w.flying, func(f flight) bool { return f.from == node })
 	for _, other := range w.names {
 		if w.cores[other] != nil {
 			w.send(other, PeerDown{Node: node})
@@ -258,6 +294,13 @@
 	}
 }
 
+// read gives a controller the stored state, now or once it is answered again.
+func (w *world) read(node string) {
+	if w.unread[node] = w.outage || w.cut[node]; !w.unread[node] {
+		w.load(node)
+	}
+}
+
 func (w *world) load(node string) {
 	l := Loaded{Revision: w.revision}
 	for _, key := range slices.Sorted(maps.Keys(w.kv)) {
@@ -277,6 +320,11 @@
 		if done != nil && done() {
 			return true
 		}
+		w.later = slices.DeleteFunc(w.later, func(over func() bool) bool { return over() })
+		for _, f := range w.flying {
+			w.send(f.to, PeerIn{Node: f.from, Msg: f.msg})
+		}
+		w.flying = nil
 		w.tendWorkers()
 		w.sendCopies()
 		for _, node := range w.names {
@@ -292,10 +340,12 @@
 	if c == nil || w.frozen[node] {
 		return
 	}
-	if !w.outage && !w.cut[node] && w.seen[node] < uint64(len(w.events)) {
+	if !w.outage && !w.cut[node] && w.seen[node] < uint64(len(w.events)) && w.now >= w.watchedAt[node]+w.watchLag {
+		w.watchedAt[node] = w.now
 		w.send(node, Watched{Revision: w.revision, Events: slices.Clone(w.events[w.seen[node]:])})
 		w.seen[node] = uint64(len(w.events))
 	}
+	w.noticeStore(node)
 	batch := w.inbox[node]
 	w.inbox[node] = nil
 	for _, e := range c.Step(Now{Steady: w.now, Wall: w.now.Milliseconds()}, batch) {
@@ -303,6 +353,26 @@
 	}
 }
 
+// noticeStore tells a controller when the state service stops or starts to answer it.
+func (w *world) noticeStore(node string) {
+	switch since, dark := w.dark[node]; {
+	case !w.outage && !w.cut[node]:
+		delete(w.dark, node)
+		if w.unread[node] {
+			w.read(node)
+		}
+		if w.blind[node] {
+			delete(w.blind, node)
+			w.send(node, StoreHealth{OK: true})
+		}
+	case !dark:
+		w.dark[node] = w.now
+	case !w.blind[node] && w.now-since > seconds(w.cfg[node].Params.Workers.ReportS):
+		w.blind[node] = true
+		w.send(node, StoreHealth{})
+	}
+}
+
 func (w *world) carryOut(node string, e Effect) {
 	if w.tell != nil {
 		w.tell(node, e)
@@ -315,15 +385,24 @@
 	case StoreGet:
 		w.get(node, e)
 	case StoreReload:
-		w.load(node)
+		w.read(node)
 	case SendPeer:
+		if slices.Contains(w.old, node) {
+			e.Msg = asOld(e.Msg)
+		}
 		for _, to := range e.Nodes {
+			msg := e.Msg
+			if slices.Contains(w.old, to) {
+				msg = asOld(msg)
+			}
 			switch l := (link{node, to}); {
 			case w.cores[to] == nil || w.refused[l]:
 			case w.slow[l]:
-				w.late[l] = append(w.late[l], e.Msg)
+				w.late[l] = append(w.late[l], msg)
+			case w.latency:
+				w.flying = append(w.flying, flight{l, msg})
 			default:
-				w.send(to, PeerIn{Node: node, Msg: e.Msg})
+				w.send(to, PeerIn{Node: node, Msg: msg})
 			}
 		}
 	case SendSite:
@@ -336,7 +415,10 @@
 		}
 		w.deliver(node, e)
 	case FetchCatalog:
-		w.send(node, CatalogIn{Types: w.types})
+		w.send(node, CloudHealth{OK: !w.noCloud})
+		if !w.noCloud {
+			w.send(node, CatalogIn{Types: w.types})
+		}
 	case FetchList:
 		w.list(node)
 	case Rent:
@@ -363,6 +445,15 @@
 	}
 }
 
+// asOld is what a controller of the release before makes of a message, or sends.
+func asOld(m PeerMsg) PeerMsg {
+	m.Words, m.Known = nil, nil
+	if b := m.Beat; b != nil {
+		m.Beat = &NodeBeat{StoreOK: b.StoreOK, Due: b.Due, Records: b.Records, Heard: b.Heard, Seqs: b.Seqs, Misses: b.Misses}
+	}
+	return m
+}
+
 func (w *world) list(node string) {
 	var l ListIn
 	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
@@ -408,8 +499,30 @@
 		w.t.Errorf("transaction of %d changes and %d conditions", len(e.Txn.Then), len(e.Txn.If))
 	}
 	w.requests++
-	r := StoreReply{ID: e.ID}
-	for _, cond := range e.Txn.If {
+	if at := w.now + w.lateWrite; w.lateWrite > 0 && len(e.Txn.Then) > 0 && e.Quick {
+		w.lateWrite = 0
+		w.later = append(w.later, func() bool {
+			due := w.now >= at && !w.outage
+			if due {
+				w.decide(e.Txn)
+			}
+			return due
+		})
+		w.send(node, StoreReply{ID: e.ID, Outcome: Unknown})
+		return
+	}
+	r := w.decide(e.Txn)
+	r.ID = e.ID
+	if w.unknown > 0 {
+		w.unknown--
+		r = StoreReply{ID: e.ID, Outcome: Unknown}
+	}
+	w.send(node, r)
+}
+
+// decide carries a transaction out if its conditions hold.
+func (w *world) decide(txn protocol.Txn) (r StoreReply) {
+	for _, cond := range txn.If {
 		if w.kv[cond.Key].Version != cond.Version {
 			r.Failed = append(r.Failed, cond.Key)
 		}
@@ -420,22 +533,18 @@
 	if len(r.Failed) > 0 {
 		r.Outcome, r.Revision = Conflict, w.revision
 	} else {
-		if len(e.Txn.Then) > 0 {
+		if len(txn.Then) > 0 {
 			w.revision++
 		}
-		for _, ch := range e.Txn.Then {
-			if float64(len(ch.Value)) > p.ValueKB*1024 {
+		for _, ch := range txn.Then {
+			if float64(len(ch.Value)) > w.cfg[w.names[0]].Params.State.ValueKB*1024 {
 				w.t.Errorf("value of %s has %d bytes", ch.Put, len(ch.Value))
 			}
 			w.apply(ch)
 		}
 		r.Revision = w.revision
 	}
-	if w.unknown > 0 {
-		w.unknown--
-		r = StoreReply{ID: e.ID, Outcome: Unknown}
-	}
-	w.send(node, r)
+	return r
 }
 
 func (w *world) get(node string, e StoreGet) {
