Make writes that are carried out late void: the own key and bulletins by their versions

Cause: transactions without an answer may be carried out 2 to 12 s later, after newer ones. Two writes had no condition. A controller's own key, written late by a former run whose lease still lived, took the place of the new run's and went with the old lease: its controller was home of nothing for as long as it lived. A late page of a bulletin stayed after all were taken away, and named machines as alive. Both shown red by late_test.go first; the test world now lets writes be late, refuses writes under ended leases, and checks every transaction for a condition on a key that it changes (exempt, with the reason: marks, rentals, records).

Change: a controller's own key is written while the store does not show it, on its version; a bulletin follows what the store holds of it by the watch and writes each page on its version, so a write whose answer is missing needs no doubt of its own; an operator's drain of a site is conditioned like the gateway's other records.

Ruled out: one fence for all writes (the own key's version, raised after each missing answer): every write in flight would fail with it.

--- a/internal/core/apart.go
+++ b/internal/core/apart.go
@@ -272,18 +272,18 @@
 	var txn protocol.Txn
 	for _, ch := range changes {
 		key := pageKey(c.cfg.Node, ch.Page)
+		txn.If = append(txn.If, protocol.Condition{Key: key, Version: ch.Version})
 		if ch.Value == nil {
 			txn.Then = append(txn.Then, protocol.Change{Delete: key})
 		} else {
 			txn.Then = append(txn.Then, protocol.Change{Put: key, Value: ch.Value, Lease: c.lease})
 		}
 	}
-	lease := c.lease
 	c.apart.busy = true
 	c.txn(txn, true, func(r StoreReply) {
 		c.apart.busy = false
-		if c.lease == lease && (r.Outcome == Applied || r.Outcome == Unknown) {
-			c.apart.board.Stored(changes, r.Outcome == Unknown)
+		if r.Outcome == Applied {
+			c.apart.board.Wrote(changes, r.Revision)
 		}
 	})
 }
@@ -291,6 +291,9 @@
 // pageWritten takes in a page of another controller's bulletin.
 func (c *Core) pageWritten(item protocol.KeyValue) error {
 	node, name, _ := strings.Cut(strings.TrimPrefix(item.Key, keyBoard), "/")
+	if node == c.cfg.Node {
+		c.apart.board.Saw(name, item.Value, item.Version)
+	}
 	if c.peers[node] == nil {
 		return nil
 	}
@@ -319,8 +322,11 @@
 	return c.factsRead(page)
 }
 
-func (c *Core) pageDropped(key string) {
+func (c *Core) pageDropped(key string, revision uint64) {
 	node, name, _ := strings.Cut(strings.TrimPrefix(key, keyBoard), "/")
+	if node == c.cfg.Node {
+		c.apart.board.Saw(name, nil, revision)
+	}
 	if r := c.apart.read[node]; r != nil {
 		delete(r.pages, name)
 	}
--- a/internal/core/bulletin/bulletin.go
+++ b/internal/core/bulletin/bulletin.go
@@ -172,20 +172,40 @@
 	return out
 }
 
-// Board follows which pages of this controller's bulletin the store holds.
+// Board follows which pages of this controller's bulletin the store holds, and at which
+// versions: each is written on the condition that it is as it was seen, so that a write
+// which is carried out late, after newer ones, is void.
 type Board struct {
-	stored map[string]json.RawMessage
+	stored map[string]stored
 	// last is the page that was written last, apart from the first page.
 	last string
 }
 
+// stored is a page as the store holds it; without a value it is not there.
+type stored struct {
+	value   json.RawMessage
+	version uint64
+}
+
 // Empty tells whether nothing is stored.
-func (b *Board) Empty() bool { return len(b.stored) == 0 }
+func (b *Board) Empty() bool { return len(b.Pages()) == 0 }
+
+// Pages names the pages that are stored.
+func (b *Board) Pages() (out []string) {
+	for _, name := range slices.Sorted(maps.Keys(b.stored)) {
+		if b.stored[name].value != nil {
+			out = append(out, name)
+		}
+	}
+	return out
+}
 
-// Change is a page to be written, or deleted where Value is nil.
+// Change is a page to be written, or deleted where Value is nil, while the store holds it
+// at Version, 0 if not at all.
 type Change struct {
-	Page  string
-	Value json.RawMessage
+	Page    string
+	Value   json.RawMessage
+	Version uint64
 }
 
 // Diff lists at most limit changes that bring the stored pages up to want: the first
@@ -194,19 +214,27 @@
 func (b *Board) Diff(want map[string]json.RawMessage, limit int) []Change {
 	var out []Change
 	for _, name := range slices.Sorted(maps.Keys(want)) {
-		if !bytes.Equal(want[name], b.stored[name]) {
-			out = append(out, Change{name, want[name]})
+		if !bytes.Equal(want[name], b.stored[name].value) {
+			out = append(out, Change{name, want[name], b.version(name)})
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(b.stored)) {
+	for _, name := range b.Pages() {
 		if want[name] == nil {
-			out = append(out, Change{Page: name})
+			out = append(out, Change{Page: name, Version: b.version(name)})
 		}
 	}
 	slices.SortStableFunc(out, func(a, c Change) int { return cmp.Compare(b.turn(a.Page), b.turn(c.Page)) })
 	return out[:min(len(out), limit)]
 }
 
+// version is the one at which a page is stored, 0 if it is not.
+func (b *Board) version(page string) uint64 {
+	if s := b.stored[page]; s.value != nil {
+		return s.version
+	}
+	return 0
+}
+
 // turn orders pages: the first page, those after the one written last, and the rest.
 func (b *Board) turn(page string) int {
 	switch {
@@ -218,26 +246,23 @@
 	return 2
 }
 
-// Stored notes that changes have been written, or may have been: in doubt they
-// are written again.
-func (b *Board) Stored(changes []Change, doubt bool) {
-	if b.stored == nil {
-		b.stored = map[string]json.RawMessage{}
-	}
+// Wrote notes that changes have been written at a revision. One whose answer did not come
+// is found out by what the store shows.
+func (b *Board) Wrote(changes []Change, revision uint64) {
 	for _, c := range changes {
 		if c.Page != FirstPage {
 			b.last = c.Page
 		}
-		switch {
-		case doubt:
-			b.stored[c.Page] = json.RawMessage{} // unlike any page
-		case c.Value == nil:
-			delete(b.stored, c.Page)
-		default:
-			b.stored[c.Page] = c.Value
-		}
+		b.Saw(c.Page, c.Value, revision)
 	}
 }
 
-// Clear notes that the store holds nothing any more.
-func (b *Board) Clear() { b.stored = nil }
+// Saw notes what the store holds of a page as of a revision, nil for nothing.
+func (b *Board) Saw(page string, value json.RawMessage, revision uint64) {
+	if b.stored == nil {
+		b.stored = map[string]stored{}
+	}
+	if revision > b.stored[page].version {
+		b.stored[page] = stored{value, revision}
+	}
+}
--- a/internal/core/bulletin/bulletin_test.go
+++ b/internal/core/bulletin/bulletin_test.go
@@ -28,18 +28,50 @@
 		want := Pages(json.RawMessage(`{"n":1}`), keysOf(said), machines, limit)
 
 		var board Board
-		stored := map[string]json.RawMessage{}
-		for round := 0; ; round++ {
-			changes := board.Diff(want, rapid.IntRange(1, 8).Draw(t, "portion"))
-			if len(changes) == 0 {
-				break
+		stored, versions := map[string]json.RawMessage{}, map[string]uint64{}
+		revision := uint64(0)
+		// carry does what the state service does, and tells whether the conditions held.
+		carry := func(changes []Change) bool {
+			for _, c := range changes {
+				if versions[c.Page] != c.Version {
+					return false
+				}
 			}
+			revision++
 			for _, c := range changes {
-				if stored[c.Page] = c.Value; c.Value == nil {
+				stored[c.Page], versions[c.Page] = c.Value, revision
+				if c.Value == nil {
 					delete(stored, c.Page)
+					versions[c.Page] = 0
 				}
 			}
-			board.Stored(changes, round < 3 && rapid.Bool().Draw(t, "no answer"))
+			return true
+		}
+		watch := func() {
+			for page := range versions {
+				board.Saw(page, stored[page], revision)
+			}
+		}
+		var late [][]Change
+		for round := 0; ; round++ {
+			if round > 3 {
+				for _, changes := range late {
+					carry(changes)
+				}
+				late = nil
+				watch()
+			}
+			changes := board.Diff(want, rapid.IntRange(1, 8).Draw(t, "portion"))
+			if len(changes) == 0 && late == nil {
+				break
+			}
+			if round < 3 && rapid.Bool().Draw(t, "carried out late") {
+				late = append(late, changes)
+			} else if carry(changes) && rapid.Bool().Draw(t, "answered") {
+				board.Wrote(changes, revision)
+			} else {
+				watch()
+			}
 		}
 		heard := map[Kind][]string{}
 		for name, value := range stored {
@@ -76,7 +108,7 @@
 				t.Fatalf("%+v: %d machines of %d", k, len(heard[k]), len(ids))
 			}
 		}
-		board.Stored(board.Diff(nil, 1<<20), false)
+		board.Wrote(board.Diff(nil, 1<<20), revision+1)
 		if !board.Empty() {
 			t.Fatal("pages are left once there is nothing to say")
 		}
@@ -122,7 +154,7 @@
 		for _, c := range changes {
 			stored[c.Page] = true
 		}
-		board.Stored(changes, false)
+		board.Wrote(changes, uint64(round+1))
 		if len(stored) == len(want) {
 			return
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,7 +34,10 @@
 	loaded   bool
 	revision uint64
 	lease    uint64
-	enrolled bool
+	// enrolling is set while this node's own key is being written, enrolledAt is when it
+	// last was.
+	enrolling  bool
+	enrolledAt uint64
 	// roster lists all controllers, alike on every node.
 	roster  []string
 	nodes   map[string]nodeKey
--- a/internal/core/gatestore.go
+++ b/internal/core/gatestore.go
@@ -92,7 +92,7 @@
 		if w.On {
 			change = put(drainedKey(w.Site), struct{}{})
 		}
-		return protocol.Txn{Then: []protocol.Change{change}}, true
+		return protocol.Txn{If: c.asMirrored(drainedKey(w.Site)), Then: []protocol.Change{change}}, true
 	case gateway.SetLast:
 		return protocol.Txn{If: c.asMirrored(lastKey(w.Site)), Then: []protocol.Change{put(lastKey(w.Site), w.Last)}}, true
 	}
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -8,14 +8,13 @@
 
 // leaseUp starts over under a fresh lease.
 func (c *Core) leaseUp(lease uint64) {
-	c.lease, c.enrolled = lease, false
-	c.apart.board.Clear()
+	c.lease = lease
 	c.enroll()
 }
 
 // leaseDown gives up every home: others may hold them by now.
 func (c *Core) leaseDown() {
-	c.lease, c.enrolled = 0, false
+	c.lease = 0
 	for _, t := range c.allTeams() {
 		if t.acting {
 			c.homeLost(t)
@@ -23,17 +22,29 @@
 	}
 }
 
-// enroll writes this node's own key once it has a lease and the stored state.
+// enrolled tells whether the store shows this run's own key under its lease.
+func (c *Core) enrolled() bool {
+	me, there := c.nodes[c.cfg.Node]
+	return there && me.Inc == c.inc && me.Lease == c.lease
+}
+
+// enroll writes this node's own key while it has a lease and the stored state, and the
+// store does not show it, on the condition that it is as the replica has it: a former run
+// may have written it under a lease that lives, and late.
 func (c *Core) enroll() {
-	if !c.loaded || c.lease == 0 || c.enrolled {
+	if !c.loaded || c.lease == 0 || c.enrolled() || c.enrolling || c.revision < c.enrolledAt {
 		return
 	}
-	c.enrolled = true
-	lease := c.lease
-	own := protocol.Change{Put: keyNode + c.cfg.Node, Value: raw(nodeKey{Inc: c.inc, Lease: lease, Gate: c.gate != nil}), Lease: lease}
-	c.txn(protocol.Txn{Then: []protocol.Change{own}}, true, func(r StoreReply) {
-		if r.Outcome != Applied && c.lease == lease {
-			c.enrolled = false // tendHomes tries again
+	c.enrolling = true
+	key := keyNode + c.cfg.Node
+	own := protocol.Change{Put: key, Value: raw(nodeKey{Inc: c.inc, Lease: c.lease, Gate: c.gate != nil}), Lease: c.lease}
+	c.txn(protocol.Txn{
+		If:   []protocol.Condition{{Key: key, Version: c.nodes[c.cfg.Node].version}},
+		Then: []protocol.Change{own},
+	}, true, func(r StoreReply) {
+		c.enrolling = false // tendHomes tries again, unless the watch shows it
+		if r.Outcome == Applied {
+			c.enrolledAt = r.Revision
 		}
 	})
 	c.takeTerm()
@@ -43,8 +54,7 @@
 // this node, and hands surplus teams to nodes that have too few.
 func (c *Core) tendHomes() {
 	c.enroll()
-	me, enrolled := c.nodes[c.cfg.Node]
-	if c.lease == 0 || !enrolled || me.Inc != c.inc || c.blind() {
+	if c.lease == 0 || !c.enrolled() || c.blind() {
 		return
 	}
 	for i, t := range c.allTeams() {
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -37,7 +37,8 @@
 	Inc   string `json:"i"`
 	Lease uint64 `json:"l"`
 	// Gate tells that it knows of jobs that are away.
-	Gate bool `json:"g,omitempty"`
+	Gate    bool `json:"g,omitempty"`
+	version uint64
 }
 
 // homeKey is the value of a team's home.
--- /dev/null
+++ b/internal/core/late_test.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/segmentio/encoding/json"
+
+	"pepperlever/internal/protocol"
+)
+
+// A controller that ends right after it has written its own key, and is back before its
+// lease is over: the late write used to take the place of the new run's key, and went with
+// the old lease, so that the controller was home of nothing for as long as it lived.
+func TestLateWriteOfAFormerRunTakesNoKey(t *testing.T) {
+	for _, late := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second, 12 * time.Second} {
+		w := newWorldOf(t, five).ready()
+		w.crash("a")
+		w.expire("a")
+		w.run(time.Second, nil)
+		w.lateWrite = func(node string, e StoreTxn) time.Duration {
+			if node != "a" || e.Txn.Then[0].Put != keyNode+"a" {
+				return 0
+			}
+			w.lateWrite = nil
+			return late
+		}
+		w.boot("a")
+		w.run(300*time.Millisecond, nil)
+		former := map[uint64]bool{}
+		for lease, node := range w.leases {
+			former[lease] = node == "a"
+		}
+		w.crash("a")
+		w.boot("a")
+		w.run(3*time.Second, nil)
+		for lease, is := range former { // the former run's lease ends
+			if is {
+				delete(w.leases, lease)
+				for key, kv := range w.kv {
+					if kv.Lease == lease {
+						w.change(protocol.Change{Delete: key})
+					}
+				}
+			}
+		}
+		w.run(20*time.Second, nil)
+		var n nodeKey
+		if err := json.Unmarshal(w.kv[keyNode+"a"].Value, &n); err != nil || n.Inc != w.cores["a"].inc {
+			t.Errorf("%v late: the key of a is %s", late, w.kv[keyNode+"a"].Value)
+		}
+		if home := w.cores["b"].teamBy["red"].home; home != "a" {
+			t.Errorf("%v late: the team of a has its home at %q", late, home)
+		}
+	}
+}
+
+// A page of a bulletin that is carried out after newer ones, or after all pages were taken
+// away since the links are back: it used to stay for as long as its controller lived, and
+// named machines as alive.
+func TestLatePageOfABulletinIsVoid(t *testing.T) {
+	w := idleWorld(t, 20)
+	w.taskTime = 10 * time.Minute
+	accepted(t, w.submit("a", "req-free-1", 40, ""))
+	w.started("req-free-1", 40)
+	w.lateWrite = func(_ string, e StoreTxn) time.Duration {
+		if !strings.HasPrefix(e.Txn.Then[0].Put, keyBoard) || w.rng.IntN(3) > 0 {
+			return 0
+		}
+		return time.Duration(2+w.rng.IntN(11)) * time.Second
+	}
+	w.refuse(everyLink)
+	w.run(20*time.Second, nil)
+	w.restore()
+	w.run(30*time.Second, nil)
+	for key := range w.kv {
+		if strings.HasPrefix(key, keyBoard) {
+			t.Errorf("%s is left", key)
+		}
+	}
+	w.startedOnce()
+}
--- a/internal/core/refused_test.go
+++ b/internal/core/refused_test.go
@@ -265,8 +265,16 @@
 				each(w, old, func(f *fakeWorker) { f.dead = true })
 			}},
 		"the cancellation is carried out late": {
-			gap:     14 * time.Second,
-			refused: func(w *world) { w.lateWrite = 12 * time.Second },
+			gap: 14 * time.Second,
+			refused: func(w *world) {
+				w.lateWrite = func(_ string, e StoreTxn) time.Duration {
+					if !e.Quick {
+						return 0
+					}
+					w.lateWrite = nil
+					return 12 * time.Second
+				}
+			},
 		},
 		"links come back": {
 			refused: func(w *world) { w.refuse(everyLink) },
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -62,6 +62,9 @@
 	for key := range c.sites.versions {
 		out[key] = true
 	}
+	for _, page := range c.apart.board.Pages() {
+		out[pageKey(c.cfg.Node, page)] = true
+	}
 	for node, r := range c.apart.read {
 		for page := range r.pages {
 			out[pageKey(node, page)] = true
@@ -106,7 +109,7 @@
 	case strings.HasPrefix(key, keyGate):
 		err = c.siteWritten(item)
 	case strings.HasPrefix(key, keyNode):
-		var n nodeKey
+		n := nodeKey{version: item.Version}
 		if err = json.Unmarshal(item.Value, &n); err == nil {
 			c.nodes[strings.TrimPrefix(key, keyNode)] = n
 			c.timers.homes = 0 // teams may be waiting for it
@@ -159,7 +162,7 @@
 		delete(c.nodes, strings.TrimPrefix(key, keyNode))
 		c.timers.homes = 0
 	case strings.HasPrefix(key, keyBoard):
-		c.pageDropped(key)
+		c.pageDropped(key, revision)
 	case strings.HasPrefix(key, keyMark):
 		delete(c.marks, strings.TrimPrefix(key, keyMark))
 	case strings.HasPrefix(key, keyIntent):
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -41,8 +41,9 @@
 	// loseDo holds deliveries back instead of carrying them out.
 	loseDo bool
 	held   []Deliver
-	// lateWrite lets the next transaction get no answer and be carried out that late.
-	lateWrite time.Duration
+	// lateWrite says for a transaction with changes how late it is carried out, without an
+	// answer, or 0.
+	lateWrite func(node string, e StoreTxn) time.Duration
 	// unknown makes transactions be applied without an answer.
 	unknown int
 
@@ -499,17 +500,11 @@
 		w.t.Errorf("transaction of %d changes and %d conditions", len(e.Txn.Then), len(e.Txn.If))
 	}
 	w.requests++
-	if at := w.now + w.lateWrite; w.lateWrite > 0 && len(e.Txn.Then) > 0 && e.Quick {
-		w.lateWrite = 0
-		w.later = append(w.later, func() bool {
-			due := w.now >= at && !w.outage
-			if due {
-				w.decide(e.Txn)
-			}
-			return due
-		})
-		w.send(node, StoreReply{ID: e.ID, Outcome: Unknown})
-		return
+	if w.lateWrite != nil && len(e.Txn.Then) > 0 {
+		if d := w.lateWrite(node, e); d > 0 {
+			w.carryOutLate(node, e, d)
+			return
+		}
 	}
 	r := w.decide(e.Txn)
 	r.ID = e.ID
@@ -520,8 +515,54 @@
 	w.send(node, r)
 }
 
-// decide carries a transaction out if its conditions hold.
+// carryOutLate lets a transaction get no answer and be carried out after d, by then.
+func (w *world) carryOutLate(node string, e StoreTxn, d time.Duration) {
+	sent := w.now
+	w.later = append(w.later, func() bool {
+		if w.now < sent+d || w.outage {
+			return false
+		}
+		w.decide(e.Txn)
+		return true
+	})
+	w.later = append(w.later, func() bool {
+		if w.now < sent+min(d, time.Second) {
+			return false
+		}
+		if w.cores[node] != nil {
+			w.send(node, StoreReply{ID: e.ID, Outcome: Unknown})
+		}
+		return true
+	})
+}
+
+// checkFenced checks that a transaction which is carried out late, after newer ones of
+// the same controller, changes nothing: it changes a key that it has a condition on, and
+// so does whatever else changes it.
+func (w *world) checkFenced(txn protocol.Txn) {
+	for _, ch := range txn.Then {
+		key := ch.Put + ch.Delete
+		switch {
+		case slices.ContainsFunc(txn.If, func(c protocol.Condition) bool { return c.Key == key }):
+			return
+		case strings.HasPrefix(key, keyMark), strings.HasPrefix(key, keyIntent), strings.HasPrefix(key, keyRecord):
+			// That a machine is gone is true for good, a rental's name is never used for
+			// another, and records are advice: an old one changes the ranking a little.
+			return
+		}
+	}
+	if len(txn.Then) > 0 {
+		w.t.Errorf("%v: a late write of %s would take the place of a newer one", w.now, txn.Then[0].Put+txn.Then[0].Delete)
+	}
+}
+
+// decide carries a transaction out if its conditions hold and its leases live.
 func (w *world) decide(txn protocol.Txn) (r StoreReply) {
+	for _, ch := range txn.Then {
+		if ch.Lease != 0 && w.leases[ch.Lease] == "" {
+			return StoreReply{Outcome: NoLease}
+		}
+	}
 	for _, cond := range txn.If {
 		if w.kv[cond.Key].Version != cond.Version {
 			r.Failed = append(r.Failed, cond.Key)
@@ -533,6 +574,7 @@
 	if len(r.Failed) > 0 {
 		r.Outcome, r.Revision = Conflict, w.revision
 	} else {
+		w.checkFenced(txn)
 		if len(txn.Then) > 0 {
 			w.revision++
 		}
