Test unanswered terms, passed terms, done against cancelled, another home's write; one term a lease

The world checks that a term belongs to one run. Found beside it: a controller whose lease had ended unnoticed took a term with every attempt to write its own key; it takes one a lease.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -38,6 +38,8 @@
 	// last was.
 	enrolling  bool
 	enrolledAt uint64
+	// termLease is the lease under which this node last took a term to begin with.
+	termLease uint64
 	// roster lists all controllers, alike on every node.
 	roster  []string
 	nodes   map[string]nodeKey
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -47,7 +47,10 @@
 			c.enrolledAt = r.Revision
 		}
 	})
-	c.takeTerm()
+	if c.termLease != c.lease {
+		c.termLease = c.lease
+		c.takeTerm()
+	}
 }
 
 // tendHomes takes teams that have no home, or whose home is an earlier run of
--- /dev/null
+++ b/internal/core/meetings_test.go
@@ -0,0 +1,120 @@
+package core
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
+)
+
+// A term whose write got no answer may belong to whoever wrote the same number next.
+func TestTermWithoutAnAnswerIsNotUsed(t *testing.T) {
+	for _, late := range []time.Duration{200 * time.Millisecond, 3 * time.Second} {
+		w := newWorldOf(t, five).ready()
+		n := 0
+		w.lateWrite = func(_ string, e StoreTxn) time.Duration {
+			if e.Txn.Then[0].Put != keyTerm {
+				return 0
+			}
+			if n++; n%2 == 0 {
+				return 0
+			}
+			return late
+		}
+		for i := range 10 {
+			for _, f := range w.workers {
+				f.Token += 100 // a controller that hears of it takes a newer term
+			}
+			w.addWorker("z1", false)
+			w.workers[fmt.Sprintf("vm-%06d", w.rented)].Token = uint64(1000 + i)
+			w.run(2*time.Second, nil)
+		}
+		w.run(20*time.Second, nil) // the world checks whose each term is
+		if n < 5 {
+			t.Errorf("%d terms were written", n)
+		}
+	}
+}
+
+// A start that comes after its machine's term was raised: a report under the newer term
+// has proved that it never will, and the task may be elsewhere.
+func TestStartUnderATermThatHasPassedIsRefused(t *testing.T) {
+	c := newWorld(t).cores["a"]
+	c.catalogIn(CatalogIn{Types: newWorld(t).types})
+	c.term.own[3], c.term.own[5] = true, true
+	w := &control{term: 5, session: 1, sent: map[taskAttempt]job.Resources{}, orders: map[taskAttempt]protocol.Command{}}
+	c.own["vm"] = w
+	m := c.addMachine("vm")
+	m.Machine, m.Type, m.Node, m.Session = "vm", "small", "a", 1
+	for _, term := range []uint64{3, 4, 6} {
+		c.start("b", Start{Machine: "vm", Task: "req-free-1/0", Attempt: term, Term: term, Session: 1})
+	}
+	if len(w.queue) > 0 {
+		t.Errorf("%+v waits to be started", w.queue)
+	}
+}
+
+// A job's last task ends while its user cancels, at a controller whose replica is behind
+// and of which the home hears nothing: one of the two it is, and stays.
+func TestJobIsDoneOrCancelledAndStaysSo(t *testing.T) {
+	seen := map[string]int{}
+	for tenths := range 16 {
+		w := newWorldOf(t, five).ready()
+		w.racing = true
+		accepted(t, w.submit("a", "req-blue-1", 1, ""))
+		w.started("req-blue-1", 1)
+		home := w.cores["a"].teamBy["blue"].home
+		w.run(4200*time.Millisecond+time.Duration(tenths)*100*time.Millisecond, nil)
+		for _, f := range w.workers {
+			f.node = slices.Index(w.names, home) // it hears of the end by a report
+		}
+		w.slowWatcher = home
+		w.hold(everyLink)
+		var a Answer
+		for range 5 { // it waits until another controller knows
+			if a = w.ask("a", func(req uint64) Command { return Cancel{Req: req, ID: "req-blue-1"} }); a.Status == http.StatusOK {
+				break
+			}
+			w.run(time.Second, nil)
+		}
+		told := stateOf(t, a)
+		w.run(5*time.Second, nil)
+		w.slowWatcher = ""
+		w.restore()
+		w.run(10*time.Second, nil)
+		seen[told.State]++
+		for _, n := range w.names {
+			if s := stateOf(t, w.status(n, "req-blue-1")); s.State != told.State {
+				t.Errorf("cancelled after %d tenths: told %s, and %s by %s", tenths, told.State, s.State, n)
+			}
+		}
+	}
+	if seen[protocol.Done] == 0 || seen[protocol.Cancelled] == 0 {
+		t.Errorf("the end and the cancellation never came close: %v", seen)
+	}
+}
+
+// A home's write got no answer and is sent again, and its condition on the job fails: what
+// the store holds is either that very write, or another home's, whatever it looks like.
+func TestWriteOfAnotherHomeIsNotTakenForOnesOwn(t *testing.T) {
+	for name, own := range map[string]bool{"own": true, "another's": false} {
+		w := newWorld(t).ready()
+		accepted(t, w.submit("a", "req-free-1", 3, ""))
+		w.started("req-free-1", 3)
+		c := w.cores[w.cores["a"].teamBy["free"].home]
+		j, team := c.jobs["req-free-1"], c.teamBy["free"]
+		u := &update{team: team, job: j, nonce: "mine", retries: 1}
+		nonce := "another's"
+		if own {
+			nonce = u.nonce
+		}
+		c.headRead(u, StoreReply{Outcome: Applied, Item: protocol.KeyValue{Value: raw(map[string]string{"w": nonce}), Version: 99}})
+		if team.acting != own || own && j.Version != 99 {
+			t.Errorf("%s: still home %v, at version %d", name, team.acting, j.Version)
+		}
+	}
+}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -104,6 +104,8 @@
 	// watchLag is the pause between two watches of a controller, watchedAt its last.
 	watchLag  time.Duration
 	watchedAt map[string]time.Duration
+	// slowWatcher is a controller whose watch brings nothing.
+	slowWatcher string
 	// unread holds the controllers that wait for the stored state, unleased those that wait
 	// for a lease.
 	unread, unleased map[string]bool
@@ -119,6 +121,8 @@
 	// often all troubles ended.
 	uneven bool
 	healed int
+	// terms tells which run has taken each term.
+	terms map[uint64]string
 	// completed are the tasks that have ended by themselves.
 	completed map[string]bool
 	// told is when the user of a job was told that it is cancelled.
@@ -185,7 +189,7 @@
 		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{}, broken: map[string]bool{}, faulty: map[string]bool{},
 		deaf: map[string]bool{}, redirected: map[string]int{},
 		cfg: map[string]*settings.Settings{}, names: names, most: 40, taskTime: 5 * time.Second,
-		refused: map[link]bool{}, slow: map[link]bool{}, late: map[link][]PeerMsg{}, frozen: map[string]bool{}, unreached: map[string]bool{}, unhearing: map[string]bool{}, unheardBy: map[link]bool{}, dark: map[string]time.Duration{}, blind: map[string]bool{}, unread: map[string]bool{}, unleased: map[string]bool{}, watchedAt: map[string]time.Duration{}, told: map[string]time.Duration{}, completed: map[string]bool{}}
+		refused: map[link]bool{}, slow: map[link]bool{}, late: map[link][]PeerMsg{}, frozen: map[string]bool{}, unreached: map[string]bool{}, unhearing: map[string]bool{}, unheardBy: map[link]bool{}, dark: map[string]time.Duration{}, blind: map[string]bool{}, unread: map[string]bool{}, unleased: map[string]bool{}, watchedAt: map[string]time.Duration{}, told: map[string]time.Duration{}, completed: map[string]bool{}, terms: map[uint64]string{}}
 	w.types = []protocol.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"z1", "z2"}},
 	}
@@ -368,7 +372,7 @@
 	if c == nil || w.frozen[node] {
 		return
 	}
-	if !w.outage && !w.cut[node] && w.seen[node] < uint64(len(w.events)) && w.now >= w.watchedAt[node]+w.watchLag {
+	if !w.outage && !w.cut[node] && w.seen[node] < uint64(len(w.events)) && w.now >= w.watchedAt[node]+w.watchLag && (w.slowWatcher == "" || w.slowWatcher != node) {
 		w.watchedAt[node] = w.now
 		w.send(node, Watched{Revision: w.revision, Events: slices.Clone(w.events[w.seen[node]:])})
 		w.seen[node] = uint64(len(w.events))
@@ -381,6 +385,15 @@
 	}
 }
 
+// checkTerm checks that each term belongs to one run of one controller.
+func (w *world) checkTerm(node string, term uint64) {
+	run := w.cores[node].inc
+	if other, taken := w.terms[term]; taken && other != run {
+		w.t.Errorf("%v: %s and %s both have the term %d", w.now, other, run, term)
+	}
+	w.terms[term] = run
+}
+
 // noticeStore tells a controller when the state service stops or starts to answer it.
 func (w *world) noticeStore(node string) {
 	switch since, dark := w.dark[node]; {
@@ -409,6 +422,10 @@
 		w.tell(node, e)
 	}
 	switch e := e.(type) {
+	case Log:
+		if e.Text == "term taken" {
+			w.checkTerm(node, e.Attrs[1].(uint64))
+		}
 	case Answer:
 		w.answers[e.Req] = e
 	case StoreTxn:
