--- a/internal/core/refused_test.go
+++ b/internal/core/refused_test.go
@@ -308,6 +308,7 @@
 		for _, links := range []string{"well", "gone"} {
 			t.Run(name+", links "+links, func(t *testing.T) {
 				t.Parallel()
+				d := d
 				d.links, d.cloud, d.atOnce = links, "well", true
 				if links == "gone" {
 					d.gone, d.kept = 0, false
