--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -54,7 +54,7 @@
 	case core.Health:
 		return &core.Answer{Req: c.Req, Status: 200}
 	case core.Served:
-		return &core.Answer{Req: c.Req, Status: 200, Body: core.ServedRows{Unanswered: 8 * time.Second,
+		return &core.Answer{Req: c.Req, Status: 200, Body: core.ServedRows{Unanswered: 8 * time.Second, Owed: 3, Unsure: 7 * time.Second,
 			Rows: []tally.Row{{Kind: "class", Name: "train", Accepted: 3, LargestStarted: 1, Oldest: 7 * time.Second}}}}
 	case core.Beat:
 		return &core.Answer{Req: c.Req, Status: 200, Body: c.Report.Machine}
@@ -83,6 +83,8 @@
 		{false, "GET", "/metrics", "", 200, `pepperlever_jobs{class="train",state="largest_started"} 1`},
 		{false, "GET", "/metrics", "", 200, `pepperlever_oldest_waiting_seconds{class="train"} 7`},
 		{false, "GET", "/metrics", "", 200, "pepperlever_longest_unanswered_seconds 8"},
+		{false, "GET", "/metrics", "", 200, "pepperlever_cancellations_owed 3"},
+		{false, "GET", "/metrics", "", 200, "pepperlever_unsure_seconds 7"},
 		{true, "GET", "/gateway/status", "", 200, `"node":"a"`},
 		{true, "POST", "/gateway/status", "", 405, ""},
 		{true, "POST", "/gateway/give-up", `{"name":"req-1","why":"lost","o":"drain"}`, 200, "give-up req-1 lost"},
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -96,5 +96,7 @@
 		fmt.Fprintf(&b, "pepperlever_oldest_waiting_seconds{%s=%q} %.0f\n", r.Kind, r.Name, r.Oldest.Seconds())
 	}
 	fmt.Fprintf(&b, "pepperlever_longest_unanswered_seconds %.0f\n", s.Unanswered.Seconds())
+	fmt.Fprintf(&b, "pepperlever_cancellations_owed %d\n", s.Owed)
+	fmt.Fprintf(&b, "pepperlever_unsure_seconds %.0f\n", s.Unsure.Seconds())
 	return []byte(b.String())
 }
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -40,21 +40,30 @@
 	}
 }
 
-// A start that comes after its machine's term was raised: a report under the newer term
-// has proved that it never will, and the task may be elsewhere.
-func TestStartUnderATermThatHasPassedIsRefused(t *testing.T) {
-	c := newWorld(t).cores["a"]
-	c.catalogIn(CatalogIn{Types: newWorld(t).types})
-	c.term.own[3], c.term.own[5] = true, true
-	w := &control{term: 5, session: 1, sent: map[taskAttempt]job.Resources{}, orders: map[taskAttempt]protocol.Command{}}
-	c.own["vm"] = w
-	m := c.addMachine("vm")
-	m.Machine, m.Type, m.Node, m.Session = "vm", "small", "a", 1
-	for _, term := range []uint64{3, 4, 6} {
-		c.start("b", Start{Machine: "vm", Task: "req-free-1/0", Attempt: term, Term: term, Session: 1})
-	}
-	if len(w.queue) > 0 {
-		t.Errorf("%+v waits to be started", w.queue)
+// A start that comes after its machine's term was raised, or its session has ended: a
+// report has proved that it never will, and the task may be elsewhere. What waits is
+// delivered under the present session, so the worker would not refuse it.
+func TestStartOfATermOrSessionThatHasPassedIsRefused(t *testing.T) {
+	for name, s := range map[string]Start{
+		"as it is":        {Term: 5, Session: 2},
+		"former term":     {Term: 3, Session: 2},
+		"another's":       {Term: 4, Session: 2},
+		"later term":      {Term: 6, Session: 2},
+		"former session":  {Term: 5, Session: 1},
+		"session to come": {Term: 5, Session: 3},
+	} {
+		c := newWorld(t).cores["a"]
+		c.catalogIn(CatalogIn{Types: newWorld(t).types})
+		c.term.own[3], c.term.own[5] = true, true
+		w := &control{term: 5, session: 2, sent: map[taskAttempt]job.Resources{}, orders: map[taskAttempt]protocol.Command{}}
+		c.own["vm"] = w
+		m := c.addMachine("vm")
+		m.Machine, m.Type, m.Node, m.Session = "vm", "small", "a", 2
+		s.Machine, s.Task, s.Attempt = "vm", "req-free-1/0", 1
+		c.start("b", s)
+		if waits := len(w.queue) > 0; waits != (name == "as it is") {
+			t.Errorf("%s: it waits to be delivered: %v", name, waits)
+		}
 	}
 }
 
--- a/internal/core/served.go
+++ b/internal/core/served.go
@@ -12,10 +12,14 @@
 	// Unanswered is the longest time for which no question about some job was answered
 	// by this controller.
 	Unanswered time.Duration
+	// Owed is how many cancellations some controller is not known to know, Unsure for how
+	// long one may have been confirmed that this controller does not know of.
+	Owed   int
+	Unsure time.Duration
 }
 
 func (c *Core) served() ServedRows {
-	return ServedRows{c.tally.Rows(c.now.Steady), c.tally.Longest()}
+	return ServedRows{c.tally.Rows(c.now.Steady), c.tally.Longest(), c.owedWords(), c.now.Steady - c.sureUntil()}
 }
 
 // tellEvery is the pause, in report intervals, between two accounts in the log.
--- a/internal/core/words.go
+++ b/internal/core/words.go
@@ -168,6 +168,19 @@
 	return alone
 }
 
+// owedWords counts the words that some controller is not known to know.
+func (c *Core) owedWords() (n int) {
+	for _, w := range c.words {
+		for node := range c.peers {
+			if !c.knows(node, w) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
 // tendWords passes words on to all that are not known to know, until they do, over
 // every way there is. Stops go out again until reports show the end.
 func (c *Core) tendWords() {
