Let reports come before machines are given back for cancellations of before the start

They wait for as long as a new renter does before it judges, unless three quarters of the time allowed are over.

--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -125,12 +125,17 @@
 // unended is why a machine with a cancelled task is given back.
 const unended = "cancelled task does not end"
 
-// late tells whether so much of the time that a cancellation may take has gone by here,
-// or half as much again in all: controllers that start over in the middle of it begin to
-// count anew.
+// late tells whether so much of the time that a cancellation may take has gone by here.
+// Controllers that start over in the middle of it begin to count anew, so they go by the
+// time of day of the cancellation too, once reports had time to come, or three quarters of
+// it all are over.
 func (c *Core) late(j *job.Job, part time.Duration) bool {
-	return c.now.Steady-j.CancelledAt > part ||
-		j.CancelAsked > 0 && time.Duration(c.now.Wall-j.CancelAsked)*time.Millisecond > part*3/2
+	here := c.now.Steady - j.CancelledAt
+	all := time.Duration(0)
+	if j.CancelAsked > 0 {
+		all = time.Duration(c.now.Wall-j.CancelAsked) * time.Millisecond
+	}
+	return here > part || all > part*3/2 && here > c.silence() || all > c.allowed()*3/4
 }
 
 // allowed is the time that a cancellation may take.
--- a/internal/core/refused_test.go
+++ b/internal/core/refused_test.go
@@ -355,3 +355,38 @@
 		})
 	}
 }
+
+// After an outage in which all controllers ended, each finds in the stored state that a job
+// was cancelled long ago, and nothing of where its tasks are, though they ended in time.
+// Machines are given back only once reports had time to come.
+func TestControllersThatStartOverWaitForReportsBeforeTheyGiveMachinesBack(t *testing.T) {
+	w := idleWorld(t, 20)
+	w.racing, w.taskTime = true, 10*time.Minute
+	accepted(t, w.submit("a", refusedJob, 40, ""))
+	w.started(refusedJob, 40)
+	w.send("a", Cancel{Req: 1 << 20, ID: refusedJob})
+	if !w.run(time.Second, func() bool { return w.kv[cancelKey(refusedJob)].Version > 0 }) {
+		t.Fatal("the cancellation is not stored")
+	}
+	w.outage = true // the ends of the tasks are not
+	w.run(w.allowed()*45/100, nil)
+	for _, n := range w.names {
+		w.crash(n)
+		w.expire(n)
+	}
+	w.run(time.Second, nil)
+	given := 0
+	w.tell = func(node string, e Effect) {
+		if l, is := e.(Log); is && slices.Contains(l.Attrs, any(unended)) {
+			given++
+		}
+	}
+	w.outage = false
+	for _, n := range w.names {
+		w.boot(n)
+	}
+	w.run(w.allowed(), nil)
+	if given > 0 || w.onMachines(refusedJob) > 0 {
+		t.Errorf("%d times a machine was given back, %d tasks are left", given, w.onMachines(refusedJob))
+	}
+}
