Give machines of controllers that don't know back sooner only while the state service is out

Cause: since cancellations travel by themselves, whoever knows gave machines back after a quarter of cancel_s where the machine's controller was not known to know. The sooner time is for outages, when the cloud is all that is left.

--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -111,7 +111,10 @@
 func (c *Core) giveBack(j *job.Job, machine string) {
 	unaware := c.unaware(j.ID, machine)
 	part := c.allowed() / 2
-	if unaware {
+	if unaware && !c.storeOK {
+		// The cloud may be next, and nothing else is left. With the state service it is
+		// too early: a controller that is cut off sends its workers on meanwhile, and the
+		// build farm lost hundreds of machines that had been left by then.
 		part = min(part, c.blindTime()*3/4)
 	}
 	if unaware && c.late(j, part) || c.late(j, part) && c.answersFor(j, machine) {
