Let a leader that is back judge only what is its own by the time of day

Who has just come to know goes by the time that it has known, except for machines that are its own to judge, as before this work.

--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -117,10 +117,14 @@
 		// build farm lost hundreds of machines that had been left by then.
 		part = min(part, c.blindTime()*3/4)
 	}
-	if unaware && c.late(j, part) || c.late(j, part) && c.answersFor(j, machine) {
+	// One that has just come to know goes by the time of day only for what is its own to
+	// judge: a leader that was cut off and came back knew nothing newer of the machines,
+	// and marked a hundred of them.
+	here, mine := c.now.Steady-j.CancelledAt, c.answersFor(j, machine)
+	if unaware && here > part || mine && c.late(j, part) {
 		c.condemn(machine, unended)
 	}
-	if c.nobodyRents() && c.late(j, part+c.turnToAct()) {
+	if turn := part + c.turnToAct(); c.nobodyRents() && (here > turn || mine && c.late(j, turn)) {
 		c.release(machine)
 	}
 }
--- a/internal/core/refused_test.go
+++ b/internal/core/refused_test.go
@@ -390,3 +390,29 @@
 		t.Errorf("%d times a machine was given back, %d tasks are left", given, w.onMachines(refusedJob))
 	}
 }
+
+// A leader that was cut off comes back, and hears all at once of a job that was cancelled
+// long ago. What it last knew of the machines says nothing of where its tasks are.
+func TestLeaderThatIsBackGivesNoMachinesBack(t *testing.T) {
+	w := idleWorld(t, 20)
+	w.racing, w.taskTime = true, 10*time.Minute
+	accepted(t, w.submit("b", refusedJob, 30, ""))
+	w.started(refusedJob, 30)
+	old := w.cores["b"].teamBy["free"].home
+	w.alone(old)
+	w.run(reports(2), nil)
+	w.confirm()
+	w.run(w.allowed(), nil)
+	given := 0
+	w.tell = func(_ string, e Effect) {
+		if l, is := e.(Log); is && l.Level == Info && slices.Contains(l.Attrs, any(unended)) && l.Text != "machine returned" {
+			given++
+		}
+	}
+	accepted(t, w.submit(w.informed(), "req-free-2", 30, ""))
+	w.heal()
+	w.run(w.allowed(), nil)
+	if given > 0 {
+		t.Errorf("machines are given back %d times", given)
+	}
+}
