--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -166,7 +166,7 @@
 		return c.mine(j)
 	}
 	_, live := c.nodes[m.Node]
-	return m.Node == c.cfg.Node || c.mine(j) && (c.reaches(m.Node) || !live)
+	return m.Node == c.cfg.Node && c.own[machine] != nil || c.mine(j) && (c.reaches(m.Node) || !live)
 }
 
 // nobodyRents tells whether there may be no renter, and a mark for the next one can't be
