Ask machines whose reports don't come directly, and give them nothing new

Cause: replies to direct calls kept a machine looking alive to placing though they renew no lease, and a machine that reached no controller was given back after half a lease, with work that would have gone on. Change: reports and replies are told apart; a machine whose report is overdue gets no starts, and is asked by its controller once in a report interval until a call gets no answer or its lease has run out. Conclusion: a machine may reach nobody for its lease and lose nothing.

--- a/internal/core/apart.go
+++ b/internal/core/apart.go
@@ -168,7 +168,7 @@
 // be able to say so: once, under exactly the term and session of the binding, as the
 // home's own message would. A gang's tasks are started once all of them are bound.
 func (c *Core) startFor(id string, w *control, m *worker.Machine) {
-	if w.mute {
+	if w.unanswered {
 		return
 	}
 	due := func(ref job.Ref, b *job.Binding) bool {
@@ -365,7 +365,7 @@
 	if k.NoticeS > 0 && m.NoticeAt == 0 {
 		m.NoticeAt = c.now.Steady + seconds(float64(k.NoticeS))
 	}
-	c.alive(m)
+	c.alive(m, false)
 }
 
 // factsRead ends the bindings of this node's teams of which another controller says
--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -117,6 +117,7 @@
 func (w *world) heal() {
 	w.restore()
 	clear(w.unhearing)
+	clear(w.mute)
 	clear(w.unheardBy)
 	w.copying = false
 	for _, n := range w.names {
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -142,7 +142,7 @@
 			for b.Loop() {
 				c.now.Steady += time.Second
 				for _, m := range c.machines {
-					m.Seen = c.now.Steady
+					m.Seen, m.Reported = c.now.Steady, c.now.Steady
 				}
 				c.sched.dirty, c.sched.next, c.effects, c.claims = true, 0, nil, nil
 				c.schedule()
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -25,9 +25,10 @@
 	orders map[taskAttempt]protocol.Command
 	busy   bool
 	probe  bool
-	// mute is set from a delivery without an answer to the next report.
-	mute  bool
-	heard time.Duration
+	// unanswered is set from a delivery without an answer to the next report.
+	unanswered bool
+	// heard is when its last report came, asked when it was asked for one.
+	heard, asked time.Duration
 	// shared is when a report of it was last passed on.
 	shared time.Duration
 }
@@ -216,7 +217,7 @@
 		w.queue, w.sent = nil, map[taskAttempt]job.Resources{}
 	}
 	w.address, w.heard = r.Address, c.now.Steady
-	c.reported(w, *r)
+	c.reported(w, *r, false)
 	if to := c.lighter(r); to != "" {
 		delete(c.own, r.Machine)
 		c.log(Info, "worker sent elsewhere", "machine", r.Machine, "node", to)
@@ -245,24 +246,27 @@
 	return out
 }
 
-// reported takes a report of a worker that this node controls and passes it on.
-func (c *Core) reported(w *control, r protocol.Report) {
-	w.mute = false
+// reported takes a report of a worker that this node controls, or its reply to a direct
+// call, and passes it on.
+func (c *Core) reported(w *control, r protocol.Report, direct bool) {
+	w.unanswered = false
 	for _, t := range r.Tasks {
 		delete(w.sent, taskAttempt{t.Task, t.Attempt})
 	}
 	m := c.machines[r.Machine]
 	known := m != nil && m.Node == c.cfg.Node && m.Term == w.term && m.Same(&r) && m.Newer(&r) && !m.Missed(r.Token)
-	if known && (m.Exits == 0 || c.now.Steady-w.shared < 3*c.reportInterval()) {
+	if known && !(direct && c.reportOverdue(m)) && (m.Exits == 0 || c.now.Steady-w.shared < 3*c.reportInterval()) {
 		// The others know; this node's beats tell them that the worker lives.
-		// Exited tasks are told again, lest the order to forget them was lost.
+		// Exited tasks are told again, lest the order to forget them was lost, and
+		// so is the reply of a worker whose reports don't come, of which beats say
+		// nothing.
 		m.Seq = r.Seq
 		m.Answered(r.Token, w.term)
-		c.alive(m)
+		c.alive(m, direct)
 		return
 	}
 	w.shared = c.now.Steady
-	c.share(Observation{Node: c.cfg.Node, Term: w.term, Report: r})
+	c.share(Observation{Node: c.cfg.Node, Term: w.term, Report: r, Direct: direct})
 }
 
 // share passes an observation to every controller, this one included.
@@ -304,8 +308,10 @@
 		return "term has passed"
 	case w.session != s.Session:
 		return "session has passed"
-	case w.mute:
+	case w.unanswered:
 		return "worker does not answer"
+	case c.machines[s.Machine] != nil && c.reportOverdue(c.machines[s.Machine]):
+		return "worker does not report"
 	case s.Revision > 0 && s.Revision <= c.revision && !c.shows(s.Machine, taskAttempt{s.Task, s.Attempt}):
 		return "binding has passed"
 	case c.startsCancelled(s.Task):
@@ -391,7 +397,7 @@
 	w.busy = false
 	if d.Report != nil && d.Report.Machine == d.Machine {
 		if d.Report.Token <= w.term {
-			c.reported(w, *d.Report)
+			c.reported(w, *d.Report, true)
 		}
 	}
 	if !d.Executed {
@@ -400,7 +406,7 @@
 		}
 	}
 	if d.Report == nil {
-		w.mute = true
+		w.unanswered = true
 		c.log(Info, "delivery got no answer", "machine", d.Machine, "commands", len(d.Orders.Commands))
 		// Without a start nothing is unresolved: a machine that hangs costs one
 		// term, not one for every probe that it does not answer.
@@ -430,20 +436,34 @@
 	}
 }
 
-// tendControls forgets workers that have gone elsewhere or fallen silent.
+// tendControls forgets workers that have gone elsewhere or fallen silent, and asks those
+// whose reports don't come.
 func (c *Core) tendControls() {
 	if len(c.term.raise) > 0 {
 		c.takeTerm() // it failed before, and the homes that asked may not be heard
 	}
 	for id, w := range ordered(c.own) {
-		m := c.machines[id]
+		m, quiet := c.machines[id], c.now.Steady-w.heard
 		elsewhere := m != nil && m.Node != c.cfg.Node
-		if elsewhere || c.now.Steady-w.heard > seconds(c.cfg.Params.Workers.LeaseS) || c.marks[id].Gone {
+		switch {
+		case elsewhere || quiet > c.leaseTime()+2*c.reportInterval() || c.marks[id].Gone:
 			delete(c.own, id)
+		case m != nil && c.reportOverdue(m) && !w.unanswered && c.now.Steady-w.asked >= c.reportInterval():
+			w.asked, w.probe = c.now.Steady, true
+			c.deliver(id, w)
 		}
 	}
 }
 
+// reportOverdue tells whether a machine's reports don't come, though it may answer direct calls:
+// workers that can't open connections to any controller used to look alive, and to be given
+// back all the same with work that might have gone on for a lease. They are asked, no more
+// often than they would report, so that the ends of their tasks are known, and get nothing
+// new: it would be lost with their lease (docs/incidents/mute.md).
+func (c *Core) reportOverdue(m *worker.Machine) bool {
+	return c.now.Steady-m.Reported >= 2*c.reportInterval()+c.reportInterval()/2
+}
+
 // observe takes a report that any controller has passed on.
 func (c *Core) observe(o Observation) {
 	r := o.Report
@@ -469,7 +489,7 @@
 	c.learn(m, &r)
 	c.arrived(r.Machine, o.Node)
 	m.Update(r, c.now.Steady)
-	c.alive(m)
+	c.alive(m, o.Direct)
 	c.ledger.Touch(r.Machine)
 	c.settleMachine(m)
 }
--- a/internal/core/dark_test.go
+++ b/internal/core/dark_test.go
@@ -47,7 +47,7 @@
 		delete(c.nodes, "b") // what is not heard has lost its lease
 		delete(c.nodes, "c")
 		for _, i := range k.alive {
-			c.alive(c.machines[fmt.Sprintf("vm-9%03d", i)])
+			c.alive(c.machines[fmt.Sprintf("vm-9%03d", i)], false)
 		}
 		c.tendListed()
 		given := map[string]int{}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -18,9 +18,12 @@
 	return m
 }
 
-// alive notes a sign of life of a machine.
-func (c *Core) alive(m *worker.Machine) {
+// alive notes a sign of life of a machine: a report, or a reply to a direct call.
+func (c *Core) alive(m *worker.Machine, direct bool) {
 	m.Seen, c.zoneSeen[m.Zone] = c.now.Steady, c.now.Steady
+	if !direct {
+		m.Reported = c.now.Steady
+	}
 }
 
 // removeMachine forgets a machine that is gone for good.
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -291,6 +291,9 @@
 	Node   string          `json:"n"`
 	Term   uint64          `json:"t"`
 	Report protocol.Report `json:"r"`
+	// Direct is set where it is the reply to a direct call: the worker's reports may
+	// reach nobody.
+	Direct bool `json:"d,omitempty"`
 }
 
 // Claim tells of a binding on its way to the store, so that no other home takes
--- /dev/null
+++ b/internal/core/mute_test.go
@@ -0,0 +1,212 @@
+package core
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"pepperlever/internal/protocol"
+)
+
+const muteJob = "req-free-1"
+
+// lease is the time of a worker's lease.
+func (w *world) lease() time.Duration { return seconds(w.cfg[w.names[0]].Params.Workers.LeaseS) }
+
+// silence lets every nth machine reach no controller any more, and names them.
+func (w *world) silence(nth int) []string {
+	w.t.Helper()
+	var out []string
+	for i, id := range slices.Sorted(maps.Keys(w.workers)) {
+		if i%nth == 0 {
+			w.mute[id] = true
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// tasksOn counts the tasks on some machines that have not exited.
+func (w *world) tasksOn(machines []string) (n int) {
+	for _, id := range machines {
+		if f := w.workers[id]; f != nil {
+			for _, t := range f.Tasks {
+				if t.State != protocol.Exited {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// sessions tells whether any of some machines has begun a later session.
+func (w *world) sessions(machines []string) bool {
+	return slices.ContainsFunc(machines, func(id string) bool { return w.workers[id] != nil && w.workers[id].Session > 1 })
+}
+
+// A machine whose reports reach nobody answers direct calls, and so it looked alive: starts
+// went on to it, and each was lost with its lease.
+func TestMuteMachineGetsNoNewWork(t *testing.T) {
+	w, _ := apartWorld(t, 10, muteJob)
+	w.taskTime = 5 * time.Second
+	w.cancelJob("a", muteJob)
+	w.run(reports(1), nil)
+	w.noCloud = true
+	mute := w.silence(5)
+	sent := 0
+	w.tell = func(_ string, e Effect) {
+		if d, ok := e.(Deliver); ok && w.mute[d.Machine] {
+			for _, cmd := range d.Orders.Commands {
+				if cmd.Op == protocol.OpStart {
+					sent++
+				}
+			}
+		}
+	}
+	for n := range 12 {
+		if n == 2 { // a report is missed for sure only after more than one interval
+			sent = 0
+		}
+		accepted(t, w.submit("a", fmt.Sprintf("req-free-2-%d", n), 20, ""))
+		w.run(4*time.Second, nil)
+	}
+	if sent > 0 {
+		t.Errorf("%d starts were sent to machines that reach nobody", sent)
+	}
+	if !w.sessions(mute) {
+		t.Fatal("no lease ran out")
+	}
+	clear(w.mute)
+	w.noCloud = false
+	if !w.run(2*time.Minute, w.finished("req-free-2-0", "req-free-2-11")) {
+		t.Error("jobs do not end")
+	}
+}
+
+// For less than its lease a machine may reach nobody and lose nothing: it can be asked.
+func TestMuteMachineKeepsItsTasksForItsLease(t *testing.T) {
+	w, _ := apartWorld(t, 20, muteJob)
+	w.started(muteJob, 40)
+	mute := w.silence(5)
+	before := w.tasksOn(mute)
+	w.run(w.lease()-reports(2), nil)
+	clear(w.mute)
+	w.run(reports(4), nil)
+	if after := w.tasksOn(mute); before == 0 || after != before || w.sessions(mute) {
+		t.Errorf("of %d tasks %d are left", before, after)
+	}
+	w.startedOnce()
+}
+
+// Its tasks' ends are learned by asking it, and it is told to forget them.
+func TestEndsOnMuteMachinesAreLearned(t *testing.T) {
+	w := idleWorld(t, 20)
+	w.taskTime = 9 * time.Second
+	accepted(t, w.submit("a", muteJob, 40, ""))
+	w.started(muteJob, 40)
+	mute := w.silence(4)
+	if w.tasksOn(mute) == 0 {
+		t.Fatal("nothing runs on a mute machine")
+	}
+	if !w.run(w.lease()-reports(1), w.finished(muteJob)) || w.sessions(mute) {
+		t.Error("the job is not known to be done within the lease")
+	}
+	w.startedOnce()
+	w.run(reports(2), nil)
+	for _, id := range mute {
+		if f := w.workers[id]; f != nil && f.Session == 1 && len(f.Tasks) > 0 {
+			t.Errorf("%s still reports %v", id, f.Tasks)
+		}
+	}
+}
+
+// What is cancelled is stopped by direct calls, and no machine is given back for it.
+func TestCancelledTasksOnMuteMachinesAreStoppedAtOnce(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"just mute": 0, "mute for a while": reports(3)} {
+		w, _ := apartWorld(t, 20, muteJob)
+		mute := w.silence(4)
+		w.run(wait, nil)
+		if w.tasksOn(mute) == 0 {
+			t.Fatal("nothing runs on a mute machine")
+		}
+		machines := len(w.workers)
+		if a := w.cancelJob("b", muteJob); a.Status != http.StatusOK {
+			t.Fatalf("cancellation got %d", a.Status)
+		}
+		if !w.run(reports(2), func() bool { return w.onMachines(muteJob) == 0 }) {
+			t.Errorf("%s: %d tasks run on", name, w.onMachines(muteJob))
+		}
+		if len(w.workers) != machines {
+			t.Errorf("%s: %d machines were given back", name, machines-len(w.workers))
+		}
+	}
+}
+
+// Which machines are mute, for how long, and what else happens meanwhile: whatever it is, no
+// task runs twice, what is cancelled is gone in time, and all work ends soon after.
+func TestWorkOfMuteMachinesComesBack(t *testing.T) {
+	which := map[string]int{"all": 1, "half": 2, "a fifth": 5}
+	also := map[string]func(w *world, home string){
+		"nothing": func(*world, string) {},
+		"their controllers end": func(w *world, _ string) {
+			for _, n := range []string{"b", "d"} {
+				w.crash(n)
+				w.expire(n)
+			}
+		},
+		"a new home": func(w *world, home string) { w.crash(home); w.expire(home) },
+		"an outage": func(w *world, _ string) {
+			w.outage = true
+			w.after(w.lease()/2, w.endOutage)
+		},
+		"no links":     func(w *world, _ string) { w.refuse(everyLink) },
+		"late reports": func(w *world, _ string) { w.copying = true },
+		"all end at once": func(w *world, _ string) {
+			for _, n := range w.names {
+				w.crash(n)
+				w.expire(n)
+				w.boot(n)
+			}
+		},
+	}
+	for machines, nth := range which {
+		for trouble, happen := range also {
+			for _, leases := range []float64{0.6, 1.7} {
+				t.Run(fmt.Sprintf("%s, %s, for %v leases", machines, trouble, leases), func(t *testing.T) {
+					t.Parallel()
+					w := idleWorld(t, 20)
+					w.racing, w.uneven, w.taskTime = true, true, 20*time.Second
+					accepted(t, w.submit("a", "req-free-1", 30, ""))
+					accepted(t, w.submit("a", "req-blue-2", 4, ""))
+					accepted(t, w.submit("a", "req-free-3", 6, ""))
+					w.run(time.Minute, func() bool { return w.onMachines("req-free-1") == 30 && w.onMachines("req-free-3") == 6 })
+					home := w.cores["a"].teamBy["free"].home
+					mute := w.silence(nth)
+					if w.tasksOn(mute) == 0 {
+						t.Fatal("nothing runs on a mute machine")
+					}
+					happen(w, home)
+					w.run(reports(2), nil)
+					if !w.outage {
+						w.cancelJob(w.serving(), "req-free-3")
+					}
+					w.run(time.Duration(leases*float64(w.lease())), nil)
+					if left := w.tasksOn(mute); trouble == "nothing" && (left > 0) != (leases < 1) {
+						t.Errorf("%d tasks are left on mute machines", left)
+					}
+					if leases < 1 && trouble == "nothing" {
+						w.startedOnce()
+					}
+					w.recover()
+					if !w.run(3*time.Minute, w.finished("req-free-1", "req-blue-2")) {
+						t.Error("jobs do not end")
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -85,7 +85,7 @@
 	var all []Observation
 	for id, w := range ordered(c.own) {
 		if m := c.machines[id]; m != nil && m.Node == c.cfg.Node {
-			all = append(all, Observation{Node: c.cfg.Node, Term: w.term, Report: m.Report})
+			all = append(all, Observation{Node: c.cfg.Node, Term: w.term, Report: m.Report, Direct: c.reportOverdue(m)})
 		}
 	}
 	for part := range parts(all) {
@@ -196,7 +196,7 @@
 		b.Records = c.ownRecords()
 	}
 	for id := range ordered(c.own) {
-		if m := c.machines[id]; m != nil && m.Node == c.cfg.Node && m.Seen > c.beatAt {
+		if m := c.machines[id]; m != nil && m.Node == c.cfg.Node && m.Reported > c.beatAt {
 			b.Heard, b.Seqs = append(b.Heard, id), append(b.Seqs, m.Seq)
 		}
 	}
@@ -249,7 +249,7 @@
 			if m.Node == node && i < len(b.Seqs) {
 				m.HeardSeq = max(m.HeardSeq, b.Seqs[i])
 			}
-			c.alive(m)
+			c.alive(m, false)
 		}
 	}
 }
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -184,8 +184,7 @@
 	if _, closing := c.rental.closing[m.Machine]; closing {
 		return false
 	}
-	quiet := c.now.Steady - m.Seen
-	return !m.Deaf() && c.reaches(m.Node) && quiet < 2*c.reportInterval()+c.reportInterval()/2 && c.faults(m) < guiltyAt &&
+	return !m.Deaf() && c.reaches(m.Node) && !c.reportOverdue(m) && c.faults(m) < guiltyAt &&
 		(m.FullAt == 0 || c.now.Steady-m.FullAt > c.reportInterval()/2)
 }
 
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -18,8 +18,8 @@
 	// HeardSeq is the newest sequence number that its controller has told of, of reports
 	// that said nothing new and were not passed on.
 	HeardSeq uint64
-	// Seen is when the newest sign of life came.
-	Seen time.Duration
+	// Seen is when the newest sign of life came, Reported when the newest report did.
+	Seen, Reported time.Duration
 	// NoticeAt is when the cloud takes it away; zero without notice.
 	NoticeAt time.Duration
 	// IdleSince is when it last lost its last binding.
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -92,6 +92,8 @@
 	// unheardBy are the controllers that a machine does not hear.
 	unhearing map[string]bool
 	unheardBy map[link]bool
+	// mute are the machines that reach no controller, while direct calls reach them.
+	mute map[string]bool
 	// copying lets copies of past reports come late, to any controller.
 	copying bool
 	past    []Beat
@@ -189,7 +191,7 @@
 		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{}, broken: map[string]bool{}, faulty: map[string]bool{},
 		deaf: map[string]bool{}, redirected: map[string]int{},
 		cfg: map[string]*settings.Settings{}, names: names, most: 40, taskTime: 5 * time.Second,
-		refused: map[link]bool{}, slow: map[link]bool{}, late: map[link][]PeerMsg{}, frozen: map[string]bool{}, unreached: map[string]bool{}, unhearing: map[string]bool{}, unheardBy: map[link]bool{}, dark: map[string]time.Duration{}, blind: map[string]bool{}, unread: map[string]bool{}, unleased: map[string]bool{}, watchedAt: map[string]time.Duration{}, told: map[string]time.Duration{}, completed: map[string]bool{}, terms: map[uint64]string{}}
+		refused: map[link]bool{}, slow: map[link]bool{}, late: map[link][]PeerMsg{}, frozen: map[string]bool{}, unreached: map[string]bool{}, unhearing: map[string]bool{}, mute: map[string]bool{}, unheardBy: map[link]bool{}, dark: map[string]time.Duration{}, blind: map[string]bool{}, unread: map[string]bool{}, unleased: map[string]bool{}, watchedAt: map[string]time.Duration{}, told: map[string]time.Duration{}, completed: map[string]bool{}, terms: map[uint64]string{}}
 	w.types = []protocol.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"z1", "z2"}},
 	}
@@ -695,7 +697,7 @@
 	f.next = w.now + 2*time.Second
 	node := w.names[f.node%len(w.names)]
 	c := w.cores[node]
-	if c == nil || w.deaf[node] || w.frozen[node] || w.unreached[f.Machine] {
+	if c == nil || w.deaf[node] || w.frozen[node] || w.unreached[f.Machine] || w.mute[f.Machine] {
 		f.node++
 		return
 	}
