Refuse all that can never run, and nothing that was accepted, whatever a repeat says

Cause: what can never run looked at one task's size and the team's limit; a repeat was parsed before its job was looked up; a gang in one zone was placed with a made-up count of its tasks there, against spread. Change: one place decides by the zones in which a type that can be rented holds a task and by how many tasks must be on machines at once; whatever is wrong with a submission, a job of its id is answered with its state.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -74,12 +74,10 @@
 	return min(1900*time.Millisecond, time.Duration(a.cfg.Params.Workers.ReportS*float64(time.Second)))
 }
 
-func badRequest(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
-	if err == fasthttp.ErrBodyTooLarge {
-		status = fasthttp.StatusRequestEntityTooLarge
-	}
-	reply(ctx, core.Answer{Status: status, Body: protocol.Problem{Error: "malformed request"}})
+// badRequest answers what is malformed, too long a body too: to any other status users
+// would only come back with the same.
+func badRequest(ctx *fasthttp.RequestCtx, _ error) {
+	fail(ctx, fasthttp.StatusBadRequest, "malformed request")
 }
 
 func (a *API) handle(ctx *fasthttp.RequestCtx) {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -155,3 +155,12 @@
 		}
 	}
 }
+
+// Too long a body is malformed: to any other status users come back with the same.
+func TestLongBodyIsMalformed(t *testing.T) {
+	ctx := &fasthttp.RequestCtx{}
+	badRequest(ctx, fasthttp.ErrBodyTooLarge)
+	if got := ctx.Response.StatusCode(); got != fasthttp.StatusBadRequest {
+		t.Errorf("got %d", got)
+	}
+}
--- a/internal/core/job/spec.go
+++ b/internal/core/job/spec.go
@@ -82,6 +82,15 @@
 		(s.Zone == "" || s.Zone == zone) && (s.Spot || !spot)
 }
 
+// AtOnce is how many of the job's tasks have to be on machines at the same time for it to
+// run: an array's may come one after the other.
+func (s *Spec) AtOnce() int {
+	if s.Kind == Array {
+		return 1
+	}
+	return s.Tasks
+}
+
 // normal is the rank of the normal priority.
 var normal = slices.Index(protocol.Priorities, "normal")
 
@@ -116,6 +125,18 @@
 	return s, nil
 }
 
+// SubmittedID is the id of the job that a submission is of, whatever else is wrong with it,
+// or nothing.
+func SubmittedID(body []byte) string {
+	var in struct {
+		ID string `json:"uid"`
+	}
+	if len(body) > protocol.MaxBody || json.Unmarshal(body, &in) != nil || !ValidID(in.ID) {
+		return ""
+	}
+	return in.ID
+}
+
 // parser collects the first fault of a submission.
 type parser struct {
 	in  *protocol.Submission
@@ -198,8 +219,11 @@
 	if in.Types != nil {
 		s.Types = append([]string{}, *in.Types...)
 	}
+	if slices.Contains(s.Types, "") {
+		p.fail("machine type", "is missing")
+	}
 	if in.Zone != nil {
-		s.Zone = *in.Zone
+		s.Zone = p.text("zone", in.Zone)
 	}
 	if in.DeadlineS != nil {
 		s.DeadlineS = p.number("deadline", in.DeadlineS)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -265,30 +265,24 @@
 // Gang places n tasks of a job, all or none. The hosts' room is taken only if
 // all find a place.
 func Gang(s *job.Spec, n int, hosts []*Host, zones Zones) []*Host {
-	if s.OneZone {
-		for _, zone := range zonesOf(hosts) {
-			if out := gang(s, n, hosts, Zones{zone: max(1, zones[zone])}, zones, zone); out != nil {
-				return out
-			}
-		}
-		return nil
+	if !s.OneZone {
+		return gang(s, n, hosts, zones)
 	}
-	counted := Zones{}
-	for z, k := range zones {
-		counted[z] = k
+	for _, zone := range zonesOf(hosts) {
+		in := slices.DeleteFunc(slices.Clone(hosts), func(h *Host) bool { return h.Zone != zone })
+		if out := gang(s, n, in, zones); out != nil {
+			return out
+		}
 	}
-	return gang(s, n, hosts, counted, zones, "")
+	return nil
 }
 
-func gang(s *job.Spec, n int, hosts []*Host, counted, before Zones, zone string) []*Host {
-	for z, k := range before {
-		if zone != "" && k > 0 && z != zone {
-			return nil
-		}
-	}
+func gang(s *job.Spec, n int, hosts []*Host, before Zones) []*Host {
+	zones := Zones{}
+	maps.Copy(zones, before)
 	var out []*Host
 	for range n {
-		h := Choose(s, hosts, counted)
+		h := Choose(s, hosts, zones)
 		if h == nil {
 			for _, taken := range out {
 				taken.Room = taken.Room.Plus(s.Need, 1)
@@ -296,9 +290,7 @@
 			return nil
 		}
 		h.Take(s)
-		if zone == "" {
-			counted[h.Zone]++
-		}
+		zones[h.Zone]++
 		out = append(out, h)
 	}
 	return out
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -41,7 +41,7 @@
 func (c *Core) submit(m Submit) {
 	s, err := job.Parse(m.Body, c.specBytes())
 	if err != nil {
-		c.answer(m.Req, http.StatusBadRequest, protocol.Problem{Error: err.Error()})
+		c.refuse(m.Req, job.SubmittedID(m.Body), http.StatusBadRequest, err.Error())
 		return
 	}
 	if _, ended := c.finals[s.ID]; ended || c.jobs[s.ID] != nil {
@@ -58,18 +58,23 @@
 		return
 	}
 	if why := c.neverRuns(t, s); why != "" && !(t != nil && c.elsewhere(s)) {
-		c.refuse(m.Req, s.ID, why)
+		c.refuse(m.Req, s.ID, http.StatusUnprocessableEntity, why)
 		return
 	}
 	c.accept(m.Req, t, s)
 }
 
-// refuse answers 422, unless the job was accepted earlier: the settings or the
-// catalogue may have changed since, and an accepted job is never refused.
-func (c *Core) refuse(req uint64, id, why string) {
+// refuse turns a submission down, unless the job was accepted earlier: the settings, the
+// catalogue or what is checked of a description may have changed since, and an accepted
+// job is never refused. One without a job's id can't have been accepted.
+func (c *Core) refuse(req uint64, id string, status int, why string) {
+	if id == "" {
+		c.answer(req, status, protocol.Problem{Error: why})
+		return
+	}
 	c.inquire(id, func(f finding, s protocol.JobState) {
 		if f == absent {
-			c.answer(req, http.StatusUnprocessableEntity, protocol.Problem{Error: why})
+			c.answer(req, status, protocol.Problem{Error: why})
 			return
 		}
 		c.found(req, f, s)
@@ -106,28 +111,39 @@
 	c.tell(t.home, PeerMsg{Accepted: &item})
 }
 
-// neverRuns tells why a job can never run, or nothing.
+// neverRuns tells why a job can never run, or nothing. What only has to wait, for other
+// tasks to end or for machines to be had, may run.
 func (c *Core) neverRuns(t *team, s *job.Spec) string {
 	if t == nil {
 		return "team is unknown"
 	}
-	n := 1
-	if s.Kind != job.Array {
-		n = s.Tasks
-	}
-	if !withinLimit(t, job.Resources{}.Plus(s.Need, float64(n))) {
+	if !withinLimit(t, job.Resources{}.Plus(s.Need, float64(s.AtOnce()))) {
 		return "job needs more than the limit of its team"
 	}
 	if s.Zone != "" && !slices.Contains(c.cfg.Params.Zones, s.Zone) {
 		return "zone is unknown"
 	}
+	switch zones := c.feasibleZones(s); {
+	case zones == 0:
+		return "no allowed machine type can hold a task"
+	case s.Spread && s.AtOnce() > 1 && (s.OneZone || zones == 1):
+		return "its tasks would all be in one zone, over which they are to be spread"
+	}
+	return ""
+}
+
+// feasibleZones counts the zones in which the cloud has a machine type that the job allows
+// and that holds a task. A type that is listed in no zone can't be rented.
+func (c *Core) feasibleZones(s *job.Spec) int {
+	zones := map[string]bool{}
 	for _, typ := range c.types {
-		if s.Need.Fits(capacity(typ)) && (s.Types == nil || slices.Contains(s.Types, typ.Name)) &&
-			(s.Zone == "" || len(typ.Zones) == 0 || slices.Contains(typ.Zones, s.Zone)) {
-			return ""
+		for _, zone := range typ.Zones {
+			if s.Need.Fits(capacity(typ)) && s.Allows(typ.Name, zone, s.Spot) {
+				zones[zone] = true
+			}
 		}
 	}
-	return "no allowed machine type can hold a task"
+	return len(zones)
 }
 
 // withinLimit tells whether a team may use that much; a limit of 0 means none.
