Rent and keep machines only in zones where a job's next tasks may go

Change: demand carries the zones of its job's tasks; a gang that has to stay together gets machines in one zone. The scripted world's services run until they are cancelled, its gangs start and end whole, its workers refuse what does not fit, and it checks zones and limits from submissions alone.

--- a/internal/core/aside.go
+++ b/internal/core/aside.go
@@ -144,7 +144,9 @@
 	perImage(able)
 	if left > 0 {
 		c.keepRoom(spare, able)
-		c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: s.Spec, Tasks: left, Right: fleet.Guaranteed})
+		several := *s.Spec
+		several.Spread = false // they are of more than one job
+		c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: &several, Tasks: left, Right: fleet.Guaranteed})
 	}
 }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -36,11 +37,13 @@
 	return job.Resources{CPUs: o.Type.CPUs, GPUs: o.Type.GPUs, MemoryGB: o.Type.MemoryGB}
 }
 
-// Demand is a number of like tasks that have no place.
+// Demand is a number of like tasks that have no place. Zones counts the other tasks of
+// their job by zone.
 type Demand struct {
 	Spec  *job.Spec
 	Tasks int
 	Right Right
+	Zones placement.Zones
 }
 
 // Right is demand's right to dear machines.
@@ -76,23 +79,24 @@
 		if d.Right > Idle {
 			room = append(slices.Clip(hosts), yielding...)
 		}
-		left, picker := d.Tasks, placement.NewPicker(d.Spec, room)
+		at := whereabouts(d, room, offers, limit)
+		left, picker := d.Tasks, placement.NewPicker(d.Spec, at.in(room))
 		for left > 0 {
-			h := picker.Next(left, nil)
+			h := picker.Next(left, at.zones)
 			if h == nil {
 				break
 			}
-			left -= fill(d.Spec, h, left)
+			left -= at.fill(h, left)
 		}
 		for left > 0 {
-			i := cheapest(d, left, offers, counts, limit)
+			i := cheapest(d, left, at, offers, counts, limit)
 			if i < 0 {
 				break
 			}
 			counts[i]++
 			o := offers[i]
 			h := &placement.Host{Type: o.Type.Name, Zone: o.Zone, Spot: o.Spot, Room: o.Size(), Size: o.Size(), Lasts: -1}
-			left -= fill(d.Spec, h, left)
+			left -= at.fill(h, left)
 			hosts = append(hosts, h)
 		}
 	}
@@ -110,13 +114,73 @@
 
 func byPrice(a, b Offer) int { return cmp.Compare(a.unitPrice(), b.unitPrice()) }
 
-// fill puts as many of n like tasks on a host as it has room for.
-func fill(s *job.Spec, h *placement.Host, n int) int {
-	n = min(n, placement.Fit(s.Need, h.Room))
-	h.Room = h.Room.Plus(s.Need, -float64(n))
+// place is where machines for the tasks of a job may be. Rented wherever they are cheapest
+// they were of no use to a job whose other tasks are in another zone, or which is to be
+// spread over two, and were returned and rented again for as long as it waited.
+type place struct {
+	spec  *job.Spec
+	zones placement.Zones
+	// only, if set, is the zone for all of them.
+	only string
+}
+
+// whereabouts finds the zone for tasks that have to be together and may still choose one:
+// the cheapest that may have room for all, or else the one that may have most.
+func whereabouts(d Demand, coming []*placement.Host, offers []Offer, limit int) *place {
+	p := &place{spec: d.Spec, zones: placement.Zones{}}
+	maps.Copy(p.zones, d.Zones)
+	if !d.Spec.OneZone || len(d.Zones) > 0 || d.Spec.AtOnce() == 1 {
+		return p
+	}
+	room, price := map[string]int{}, map[string]float64{}
+	for _, h := range coming {
+		if placement.Suits(d.Spec, h, nil) {
+			room[h.Zone] += placement.Fit(d.Spec.Need, h.Room)
+		}
+	}
+	for _, o := range offers {
+		if usable(d, o) {
+			room[o.Zone] += limit * placement.Fit(d.Spec.Need, o.Size())
+			if least, priced := price[o.Zone]; !priced || o.unitPrice() < least {
+				price[o.Zone] = o.unitPrice()
+			}
+		}
+	}
+	for _, zone := range slices.Sorted(maps.Keys(room)) {
+		n, most := min(room[zone], d.Tasks), min(room[p.only], d.Tasks)
+		if p.only == "" || n > most || n == most && price[zone] < price[p.only] {
+			p.only = zone
+		}
+	}
+	return p
+}
+
+// allows tells whether one more task may go to a zone.
+func (p *place) allows(zone string) bool {
+	return (p.only == "" || zone == p.only) && placement.InZone(p.spec, zone, p.zones)
+}
+
+// in leaves out the hosts of other zones than the only one.
+func (p *place) in(hosts []*placement.Host) []*placement.Host {
+	if p.only == "" {
+		return hosts
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool { return h.Zone != p.only })
+}
+
+// fill puts as many of n like tasks on a host as it and its zone have room for.
+func (p *place) fill(h *placement.Host, n int) int {
+	n = min(n, placement.Fit(p.spec.Need, h.Room), placement.ZoneRoom(p.spec, h.Zone, p.zones))
+	h.Room = h.Room.Plus(p.spec.Need, -float64(n))
+	p.zones[h.Zone] += n
 	return n
 }
 
+// usable tells whether an offer's machines may be rented for a demand.
+func usable(d Demand, o Offer) bool {
+	return !(d.Spec.Spot && d.Right < o.Dear) && d.Spec.Allows(o.Type.Name, o.Zone, o.Spot) && d.Spec.Need.Fits(o.Size())
+}
+
 // inOrder puts demand with the strongest right first, since it would have dear
 // machines rented where others took the room that is coming; then the largest
 // tasks, so that small ones fill the gaps.
@@ -129,10 +193,10 @@
 }
 
 // cheapest finds the offer with the least price per task.
-func cheapest(d Demand, tasks int, offers []Offer, counts []int, limit int) int {
+func cheapest(d Demand, tasks int, at *place, offers []Offer, counts []int, limit int) int {
 	s, best, bestPrice := d.Spec, -1, math.Inf(1)
 	for i, o := range offers {
-		if counts[i] >= limit || s.Spot && d.Right < o.Dear || !s.Allows(o.Type.Name, o.Zone, o.Spot) || !s.Need.Fits(o.Size()) {
+		if counts[i] >= limit || !usable(d, o) || !at.allows(o.Zone) {
 			continue
 		}
 		price := o.Price() / float64(min(placement.Fit(s.Need, o.Size()), max(tasks, 1)))
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"testing"
 
 	"pepperlever/internal/core/job"
@@ -85,3 +86,43 @@
 		}
 	}
 }
+
+// Machines were rented where they are cheapest, whatever zone the other tasks of the job are
+// in: a service that is to be spread waited for its second replica for ever, and machines
+// of the wrong zone came and went.
+func TestRentsWhereTheTasksMayGo(t *testing.T) {
+	small := protocol.MachineType{Name: "small", CPUs: 4, MemoryGB: 16, Price: 1, SpotPrice: 0.4}
+	dear := small
+	dear.Price, dear.SpotPrice = 2, 0.8
+	both := []Offer{{Type: small, Zone: "a"}, {Type: dear, Zone: "b"}}
+	coming := func() []*placement.Host {
+		return []*placement.Host{{Zone: "a", Type: "small", Room: job.Resources{CPUs: 4, MemoryGB: 16}, Lasts: -1}}
+	}
+	for name, c := range map[string]struct {
+		spec   job.Spec
+		zones  placement.Zones
+		offers []Offer
+		coming []*placement.Host
+		want   map[string]int
+	}{
+		"anywhere":                       {job.Spec{Tasks: 4}, nil, both, nil, map[string]int{"a": 4}},
+		"spread":                         {job.Spec{Tasks: 4, Kind: job.Service, Spread: true}, nil, both, nil, map[string]int{"a": 2, "b": 2}},
+		"spread, half is there":          {job.Spec{Tasks: 8, Kind: job.Service, Spread: true}, placement.Zones{"a": 4}, both, nil, map[string]int{"b": 4}},
+		"spread, one is coming":          {job.Spec{Tasks: 5, Kind: job.Service, Spread: true}, placement.Zones{"a": 1}, both, coming(), map[string]int{"a": 1, "b": 2}},
+		"together with others":           {job.Spec{Tasks: 8, OneZone: true}, placement.Zones{"b": 4}, both, nil, map[string]int{"b": 4}},
+		"together with others elsewhere": {job.Spec{Tasks: 8, OneZone: true}, placement.Zones{"c": 4}, both, nil, map[string]int{}},
+		"a gang together":                {job.Spec{Tasks: 4, Kind: job.Gang, OneZone: true}, nil, both, nil, map[string]int{"a": 4}},
+		"a gang, one zone is full":       {job.Spec{Tasks: 4, Kind: job.Gang, OneZone: true}, nil, both[1:], coming(), map[string]int{"b": 4}},
+		"a gang, one is coming":          {job.Spec{Tasks: 4, Kind: job.Gang, OneZone: true}, nil, both, coming(), map[string]int{"a": 3}},
+		"nothing is known of a zone":     {job.Spec{Tasks: 8, OneZone: true}, placement.Zones{placement.AnyZone: 1}, both, nil, map[string]int{}},
+	} {
+		c.spec.Need = job.Resources{CPUs: 4, MemoryGB: 1}
+		got := map[string]int{}
+		for _, o := range Plan([]Demand{{Spec: &c.spec, Tasks: 4, Zones: c.zones}}, c.coming, nil, c.offers, 9) {
+			got[o.Offer.Zone] += o.Count
+		}
+		if !maps.Equal(got, c.want) {
+			t.Errorf("%s: got %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -83,17 +83,23 @@
 }
 
 // InZone tells whether one more task of the job may go to a zone.
-func InZone(s *job.Spec, zone string, zones Zones) bool {
+func InZone(s *job.Spec, zone string, zones Zones) bool { return ZoneRoom(s, zone, zones) > 0 }
+
+// ZoneRoom is how many more tasks of the job may go to a zone.
+func ZoneRoom(s *job.Spec, zone string, zones Zones) int {
 	if s.OneZone {
 		for z, n := range zones {
 			if n > 0 && z != zone {
-				return false
+				return 0
 			}
 		}
 	}
+	if !s.Spread {
+		return job.MaxTasks
+	}
 	// A task whose zone is not known may be in this one. Counted as being elsewhere, it let
 	// homes that had started over a moment ago put more than half of a service in a zone.
-	return !s.Spread || zones[zone]+zones[AnyZone] < (s.Tasks+1)/2
+	return max(0, (s.Tasks+1)/2-zones[zone]-zones[AnyZone])
 }
 
 // Suits tells whether one more task of the job may go to a host and is likely
@@ -184,9 +190,9 @@
 // They are the first of the smallest type that holds a task, full ones too: every
 // controller keeps the same ones, or each would fill what another keeps. No more than
 // a part of the hosts of a type is kept, for all jobs together.
-func Reserve(s *job.Spec, n int, hosts []*Host) []*Host {
+func Reserve(s *job.Spec, n int, zones Zones, hosts []*Host) []*Host {
 	able := func(h *Host) bool {
-		return h.Lasts < 0 && s.Allows(h.Type, h.Zone, h.Spot) && s.Need.Fits(h.Size) && !h.AsideFrom(s)
+		return h.Lasts < 0 && InZone(s, h.Zone, zones) && s.Allows(h.Type, h.Zone, h.Spot) && s.Need.Fits(h.Size) && !h.AsideFrom(s)
 	}
 	size, all, kept := math.Inf(1), 0, 0
 	for _, h := range hosts {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -62,7 +62,7 @@
 func TestLargeTaskIsNotStarvedBySmallOnes(t *testing.T) {
 	hosts := []*Host{host("m1", "a", 8), host("m2", "a", 8)}
 	hosts[0].Room.CPUs, hosts[1].Room.CPUs = 2, 4
-	if kept := Reserve(spec(8, 1), 2, hosts); len(kept) != 1 || kept[0].ID != "m1" {
+	if kept := Reserve(spec(8, 1), 2, nil, hosts); len(kept) != 1 || kept[0].ID != "m1" {
 		t.Fatalf("kept %v, not the first of half of the hosts", kept)
 	}
 	if h := Choose(spec(1, 1), hosts, nil); h == nil || h.ID != "m2" {
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -234,6 +234,14 @@
 	return out
 }
 
+// boundZones is zonesOf for a job to whose next tasks it matters.
+func (c *Core) boundZones(j *job.Job) placement.Zones {
+	if !j.OneZone && !j.Spread {
+		return nil
+	}
+	return c.zonesOf(j)
+}
+
 // unfailed leaves out the hosts that a job has failed on since it last
 // succeeded, unless there is no other.
 func unfailed(j *job.Job, hosts []*placement.Host) []*placement.Host {
@@ -447,10 +455,10 @@
 		return // holdForGangs gathers them
 	}
 	if !lowest(j) && time.Duration(c.now.Wall-j.Accepted)*time.Millisecond >= seconds(c.policy.TimeoutS) {
-		c.sched.wanting = append(c.sched.wanting, fleet.Demand{Spec: &j.Spec, Tasks: left})
+		c.sched.wanting = append(c.sched.wanting, fleet.Demand{Spec: &j.Spec, Tasks: left, Zones: c.boundZones(j)})
 	}
 	if as := func(kept job.Resources) bool { return j.Need.Fits(kept) }; !slices.ContainsFunc(c.sched.kept, as) {
-		c.keep(&j.Spec, 1)
+		c.keep(fleet.Demand{Spec: &j.Spec, Tasks: 1, Zones: c.boundZones(j)})
 	}
 }
 
@@ -460,17 +468,17 @@
 	short := map[job.Resources]bool{}
 	for _, d := range c.sched.wanting {
 		if !short[d.Spec.Need] {
-			short[d.Spec.Need] = c.keep(d.Spec, d.Tasks) < d.Tasks
+			short[d.Spec.Need] = c.keep(d) < d.Tasks
 		}
 	}
 }
 
-// keep keeps up to n hosts for tasks like those of s, and tells how many.
-func (c *Core) keep(s *job.Spec, n int) int {
-	hosts := placement.Reserve(s, n, c.sched.all)
+// keep keeps up to as many hosts as there are tasks without a place, and tells how many.
+func (c *Core) keep(d fleet.Demand) int {
+	hosts := placement.Reserve(d.Spec, d.Tasks, d.Zones, c.sched.all)
 	for _, h := range hosts {
-		c.sched.kept = append(c.sched.kept, s.Need)
-		c.sched.keptFor[h.ID] = s.Need
+		c.sched.kept = append(c.sched.kept, d.Spec.Need)
+		c.sched.keptFor[h.ID] = d.Spec.Need
 	}
 	return len(hosts)
 }
@@ -500,7 +508,7 @@
 	}
 	u.used = used
 	if fit > 0 {
-		c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: &j.Spec, Tasks: fit, Right: right})
+		c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: &j.Spec, Tasks: fit, Right: right, Zones: c.boundZones(j)})
 	}
 	if u.team.acting && fit > 0 {
 		c.sched.starved = append(c.sched.starved, j)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -129,6 +129,23 @@
 	completed map[string]bool
 	// told is when the user of a job was told that it is cancelled.
 	told map[string]time.Duration
+	// specs are the jobs that were handed in, as their users described them.
+	specs map[string]*job.Spec
+	// tune changes the settings that every controller is given.
+	tune func(*settings.Settings)
+	// zoned lets the cloud have as many machines in each zone; zoneOf is where
+	// controllers are, zoneCut a zone that is cut off from everything else.
+	zoned   bool
+	zoneOf  map[string]string
+	zoneCut string
+	// closed is a zone of which the cloud has no machines.
+	closed string
+	// hungUntil is until when machines hang.
+	hungUntil map[string]time.Duration
+	// whole are the attempts of gangs that were on machines with all their tasks.
+	whole map[taskAttempt]bool
+	// holdReports lets some reports get no answer and arrive much later, anywhere.
+	holdReports bool
 }
 
 // tester is what a world needs of a test, or of one try of a property.
@@ -158,6 +175,8 @@
 	leased  time.Duration                 // when the last answered report was sent
 	running map[taskAttempt]time.Duration // when it ends
 	dead    bool
+	// alone is since when a gang's task misses one of the others.
+	alone map[taskAttempt]time.Duration
 }
 
 var nodeNames = []string{"a", "b", "c"}
@@ -184,8 +203,11 @@
 
 func newWorld(t tester) *world { return newWorldOf(t, nodeNames) }
 
-func newWorldOf(t tester, names []string) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(1, 2)), tick: 100 * time.Millisecond,
+func newWorldOf(t tester, names []string) *world { return newTunedWorld(t, names, nil) }
+
+// newTunedWorld is a world whose controllers are given other settings.
+func newTunedWorld(t tester, names []string, tune func(*settings.Settings)) *world {
+	w := &world{tune: tune, specs: map[string]*job.Spec{}, hungUntil: map[string]time.Duration{}, whole: map[taskAttempt]bool{}, t: t, rng: rand.New(rand.NewPCG(1, 2)), tick: 100 * time.Millisecond,
 		cores: map[string]*Core{}, inbox: map[string][]Command{}, cut: map[string]bool{},
 		kv: map[string]protocol.KeyValue{}, seen: map[string]uint64{}, leases: map[uint64]string{},
 		workers: map[string]*fakeWorker{}, answers: map[uint64]Answer{}, starts: map[string]int{}, broken: map[string]bool{}, faulty: map[string]bool{},
@@ -204,6 +226,10 @@
 // boot starts a controller, or starts it again.
 func (w *world) boot(node string) {
 	w.cfg[node] = settingsAmong(node, w.names)
+	if w.tune != nil {
+		w.tune(w.cfg[node])
+	}
+	w.place(node)
 	w.nextReq++
 	w.cores[node] = New(w.cfg[node], settings.DefaultPolicy(), fmt.Sprint(node, w.nextReq))
 	if g := w.gateways[node]; g != nil {
@@ -346,7 +372,12 @@
 	w.send(node, l)
 }
 
-func (w *world) send(node string, c Command) { w.inbox[node] = append(w.inbox[node], c) }
+func (w *world) send(node string, c Command) {
+	if s, is := c.(Submit); is {
+		w.handedIn(s.Body)
+	}
+	w.inbox[node] = append(w.inbox[node], c)
+}
 
 // run plays for d, or until done says so.
 func (w *world) run(d time.Duration, done func() bool) bool {
@@ -476,7 +507,7 @@
 	case FetchList:
 		w.list(node)
 	case Rent:
-		if len(w.workers) >= w.most {
+		if len(w.workers) >= w.most || w.full(e.Rental.Zone) {
 			w.send(node, Rented{Rental: e.Rental, Outcome: Refused})
 			return
 		}
@@ -657,7 +688,7 @@
 func (w *world) addWorker(zone string, spot bool) string {
 	w.rented++
 	id := fmt.Sprintf("vm-%06d", w.rented)
-	w.workers[id] = &fakeWorker{running: map[taskAttempt]time.Duration{}, node: w.rented,
+	w.workers[id] = &fakeWorker{running: map[taskAttempt]time.Duration{}, alone: map[taskAttempt]time.Duration{}, node: w.rented,
 		next: w.now + 3*time.Second, leased: w.now + 3*time.Second,
 		Report: protocol.Report{Machine: id, Address: id, Type: "small", Zone: zone, Spot: spot, Session: 1}}
 	return id
@@ -667,10 +698,10 @@
 func (w *world) tendWorkers() {
 	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
 		f := w.workers[id]
-		if f == nil || f.dead {
+		if f == nil || f.dead || w.hangs(id) {
 			continue
 		}
-		changed := false
+		changed := w.tendGangs(f)
 		for i, task := range f.Tasks {
 			end, ok := f.running[taskAttempt{task.Task, task.Attempt}]
 			if ok && task.State == protocol.Running && w.now >= end {
@@ -685,6 +716,7 @@
 		if w.now-f.leased > seconds(w.cfg[w.names[0]].Params.Workers.LeaseS) {
 			f.Session, f.Tasks, f.leased = f.Session+1, nil, w.now
 			clear(f.running)
+			clear(f.alone)
 		}
 		if w.now >= f.next || changed {
 			w.report(f)
@@ -697,7 +729,7 @@
 	f.next = w.now + 2*time.Second
 	node := w.names[f.node%len(w.names)]
 	c := w.cores[node]
-	if c == nil || w.deaf[node] || w.frozen[node] || w.unreached[f.Machine] || w.mute[f.Machine] {
+	if c == nil || w.deaf[node] || w.frozen[node] || w.unreached[f.Machine] || w.mute[f.Machine] || w.across(node, f) {
 		f.node++
 		return
 	}
@@ -708,6 +740,12 @@
 	if w.copying && w.rng.IntN(4) == 0 {
 		w.past = append(w.past, beat)
 	}
+	if w.holdReports && w.rng.IntN(4) == 0 {
+		w.holdReport(beat)
+		f.node++
+		f.next = w.now + 5*time.Second
+		return
+	}
 	w.send(node, beat)
 	for range 4 {
 		w.step(node)
@@ -764,7 +802,12 @@
 func (w *world) deliver(node string, d Deliver) {
 	f := w.workers[d.Machine]
 	out := Delivered{Machine: d.Machine, Orders: d.Orders}
-	if f != nil && !f.dead && !w.unreached[f.Machine] && w.hears(f, node) {
+	if f != nil && w.hangs(f.Machine) && !w.across(node, f) {
+		// It is carried out when the machine goes on, unless its lease is over by then.
+		w.holdCall(node, d, w.hungUntil[f.Machine]-w.now+2*w.tick)
+		return
+	}
+	if f != nil && !f.dead && !w.unreached[f.Machine] && w.hears(f, node) && !w.across(node, f) {
 		f.Seq++
 		if d.Orders.Token >= f.Token && d.Orders.Session == f.Session {
 			f.Token = d.Orders.Token
@@ -806,13 +849,12 @@
 		})
 		switch cmd.Op {
 		case protocol.OpStart:
-			if at < 0 {
+			if why := w.turnsDown(f, cmd.Task); at < 0 && why != "" {
+				f.Tasks = append(f.Tasks, protocol.TaskReport{Task: cmd.Task, Attempt: cmd.Attempt, State: protocol.Exited, Why: why})
+			} else if at < 0 {
 				w.checkStart(f, cmd.Task)
 				f.Tasks = append(f.Tasks, protocol.TaskReport{Task: cmd.Task, Attempt: cmd.Attempt, State: protocol.Running})
-				f.running[key] = w.now + w.taskTime
-				if _, n, _ := job.SplitTask(cmd.Task); w.uneven && n%2 == 1 {
-					f.running[key] += 2 * w.taskTime
-				}
+				f.running[key] = w.now + w.runTime(cmd.Task)
 				if id, _, _ := job.SplitTask(cmd.Task); w.broken[id] || w.faulty[f.Machine] {
 					f.running[key] = w.now + time.Second
 				}
@@ -844,35 +886,12 @@
 	if s, ok := w.state(id); ok && !w.racing {
 		w.t.Errorf("%v: %s starts although its job is %s", w.now, task, s.State)
 	}
-	w.checkSpread(f, id)
-	if used := w.inUse("red"); used > 16+1e-6 {
-		w.t.Errorf("%v: team red uses %v CPUs", w.now, used)
-	}
-}
-
-// checkSpread checks that no more than half of a job that is to be spread is in the
-// zone of a machine that takes one more of its tasks.
-func (w *world) checkSpread(f *fakeWorker, id string) {
-	var j *job.Job
-	for _, c := range w.cores {
-		if j == nil && c != nil {
-			j = c.jobs[id]
-		}
-	}
-	if j == nil || !j.Spread {
-		return
-	}
-	there := 1
-	for _, g := range w.workers {
-		for _, t := range g.Tasks {
-			if g.Zone == f.Zone && !g.dead && strings.HasPrefix(t.Task, id+"/") && t.State != protocol.Exited {
-				there++
-			}
+	w.checkPlace(f, id)
+	for _, t := range w.cfg[w.names[0]].Params.Teams {
+		if used := w.inUse(t.Name); t.CPUsMax > 0 && used > t.CPUsMax+1e-6 {
+			w.t.Errorf("%v: team %s uses %v CPUs", w.now, t.Name, used)
 		}
 	}
-	if there > (j.Tasks+1)/2 {
-		w.t.Errorf("%v: %d of %d tasks of %s are in zone %s", w.now, there, j.Tasks, id, f.Zone)
-	}
 }
 
 // checkCancelled checks that what a user was told is cancelled has gone in time.
@@ -887,19 +906,6 @@
 	}
 }
 
-// inUse sums the CPUs of the tasks of a team's jobs, each named after the team.
-func (w *world) inUse(team string) float64 {
-	sum := 0.0
-	for _, g := range w.workers {
-		for _, t := range g.Tasks {
-			if strings.HasPrefix(t.Task, protocol.JobPrefix+team) && t.State != protocol.Exited {
-				sum += 2
-			}
-		}
-	}
-	return sum
-}
-
 func (w *world) state(id string) (stateKey, bool) {
 	var s stateKey
 	kv, ok := w.kv[keyState+id]
