--- a/internal/core/apart_test.go
+++ b/internal/core/apart_test.go
@@ -122,6 +122,8 @@
 	w.copying = false
 	for _, n := range w.names {
 		if w.cores[n] == nil {
+			delete(w.cut, n)
+			delete(w.frozen, n)
 			w.boot(n)
 		} else if w.cut[n] || w.frozen[n] {
 			delete(w.frozen, n)
--- a/internal/core/aside.go
+++ b/internal/core/aside.go
@@ -273,7 +273,10 @@
 	var old []*job.Job
 	for _, u := range turns {
 		for _, j := range u.jobs {
-			if j.Kind == job.Gang && len(j.Bound) == 0 && !lowest(j) && c.now.Wall >= c.holdsFrom(j) {
+			// One whose team has no room for it under its limit gathers nothing: it held all
+			// that came free, and other teams waited beside empty machines.
+			whole := job.Resources{}.Plus(j.Need, float64(j.Waiting()))
+			if j.Kind == job.Gang && len(j.Bound) == 0 && !lowest(j) && c.now.Wall >= c.holdsFrom(j) && withinLimit(u.team, u.used.Plus(whole, 1)) {
 				old = append(old, j)
 			}
 		}
--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -41,10 +41,8 @@
 	if w := c.words[j.ID]; w != nil {
 		j.CancelledAt, j.CancelAsked = w.at, w.Asked
 	}
-	for i, b := range ordered(j.Bound) {
-		if !b.Stored && !j.InFlight {
-			c.unbind(j, i)
-		}
+	if !j.InFlight {
+		c.unbindUnstored(j)
 	}
 	c.stopCancelled(j)
 	c.sched.dirty = true
--- a/internal/core/day_test.go
+++ b/internal/core/day_test.go
@@ -14,7 +14,9 @@
 
 	"pgregory.net/rapid"
 
+	"pepperlever/internal/core/job"
 	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
 )
 
 // TestMain fixes the seed and the number of the property tests; -rapid.seed and
@@ -44,6 +46,8 @@
 	Tasks  int
 	Long   bool
 	Cancel int
+	// Shape is what kind of jobs they are.
+	Shape int
 }
 
 // sound tells whether a controller and at least two more are well, so that it may fail.
@@ -95,37 +99,37 @@
 }
 
 // troubles are what may happen on a day; each is a meeting with all others.
-var troubles = map[string]func(w *world, node, other string){
-	"all links refused": func(w *world, _, _ string) { w.refuse(everyLink) },
-	"one link refused": func(w *world, node, other string) {
+var troubles = map[string]func(w *day, node, other string){
+	"all links refused": func(w *day, _, _ string) { w.refuse(everyLink) },
+	"one link refused": func(w *day, node, other string) {
 		w.refuse(func(f, t string) bool { return f == node && t == other })
 	},
-	"all of one refused": func(w *world, node, _ string) { w.refuse(func(f, t string) bool { return f == node || t == node }) },
-	"all links slow":     func(w *world, _, _ string) { w.hold(everyLink) },
-	"one link slow":      func(w *world, node, other string) { w.hold(func(f, t string) bool { return f == node && t == other }) },
-	"no store for one": func(w *world, node, _ string) {
+	"all of one refused": func(w *day, node, _ string) { w.refuse(func(f, t string) bool { return f == node || t == node }) },
+	"all links slow":     func(w *day, _, _ string) { w.hold(everyLink) },
+	"one link slow":      func(w *day, node, other string) { w.hold(func(f, t string) bool { return f == node && t == other }) },
+	"no store for one": func(w *day, node, _ string) {
 		if w.sound(node) {
 			w.noStore(node)
 		}
 	},
-	"one freezes": func(w *world, node, _ string) {
+	"one freezes": func(w *day, node, _ string) {
 		if w.sound(node) {
 			w.freeze(node)
 		}
 	},
-	"one ends": func(w *world, node, _ string) {
+	"one ends": func(w *day, node, _ string) {
 		if w.sound(node) {
 			w.crash(node)
 			w.expire(node)
 		}
 	},
-	"one is back at once": func(w *world, node, _ string) {
+	"one is back at once": func(w *day, node, _ string) {
 		if w.sound(node) {
 			w.again(node)
 			w.after(300*time.Millisecond, func() { w.again(node) })
 		}
 	},
-	"all end and one is back": func(w *world, node, _ string) {
+	"all end and one is back": func(w *day, node, _ string) {
 		for _, n := range w.names {
 			if w.cores[n] != nil {
 				w.crash(n)
@@ -141,7 +145,7 @@
 			}
 		})
 	},
-	"handed over and back": func(w *world, node, _ string) {
+	"handed over and back": func(w *day, node, _ string) {
 		if w.sound(node) {
 			w.noStore(node)
 			w.after(700*time.Millisecond, func() {
@@ -151,24 +155,24 @@
 			})
 		}
 	},
-	"workers only": func(w *world, node, _ string) {
+	"workers only": func(w *day, node, _ string) {
 		if w.sound(node) {
 			w.alone(node)
 		}
 	},
-	"refused, then an outage": func(w *world, node, _ string) {
+	"refused, then an outage": func(w *day, node, _ string) {
 		if w.sound(node) {
 			w.refuseStore(node)
 			w.after(time.Duration(w.rng.IntN(6))*time.Second, func() { w.outage = true })
 			w.after(time.Duration(10+w.rng.IntN(40))*time.Second, w.endOutage)
 		}
 	},
-	"an outage": func(w *world, _, _ string) {
+	"an outage": func(w *day, _, _ string) {
 		w.outage = true
 		w.after(time.Duration(3+w.rng.IntN(40))*time.Second, w.endOutage)
 	},
-	"slow watches": func(w *world, _, _ string) { w.watchLag = time.Duration(1+w.rng.IntN(3)) * time.Second },
-	"late writes": func(w *world, _, _ string) {
+	"slow watches": func(w *day, _, _ string) { w.watchLag = time.Duration(1+w.rng.IntN(3)) * time.Second },
+	"late writes": func(w *day, _, _ string) {
 		w.lateWrite = func(string, StoreTxn) time.Duration {
 			if w.rng.IntN(4) > 0 {
 				return 0
@@ -176,24 +180,53 @@
 			return time.Duration(2+w.rng.IntN(11)) * time.Second
 		}
 	},
-	"held commands":    func(w *world, _, _ string) { w.holdDo = true },
-	"late reports":     func(w *world, _, _ string) { w.copying = true },
-	"a machine is cut": func(w *world, _, _ string) { w.some(20, func(id string) { w.unreached[id] = true }) },
-	"deaf machines":    func(w *world, _, _ string) { w.some(5, func(id string) { w.unhearing[id] = true }) },
-	"deaf to one":      func(w *world, node, _ string) { w.some(2, func(id string) { w.unheardBy[link{node, id}] = true }) },
-	"machines taken":   func(w *world, _, _ string) { w.some(10, func(id string) { delete(w.workers, id) }) },
-	"the cloud refuses": func(w *world, _, _ string) {
+	"held commands":    func(w *day, _, _ string) { w.holdDo = true },
+	"late reports":     func(w *day, _, _ string) { w.copying = true },
+	"a machine is cut": func(w *day, _, _ string) { w.some(20, func(id string) { w.unreached[id] = true }) },
+	"deaf machines":    func(w *day, _, _ string) { w.some(5, func(id string) { w.unhearing[id] = true }) },
+	"deaf to one":      func(w *day, node, _ string) { w.some(2, func(id string) { w.unheardBy[link{node, id}] = true }) },
+	"machines taken":   func(w *day, _, _ string) { w.some(10, func(id string) { delete(w.workers, id) }) },
+	"the cloud refuses": func(w *day, _, _ string) {
 		w.noCloud = true
 		w.after(30*time.Second, func() { w.noCloud = false })
 	},
-	"all is well": func(w *world, _, _ string) { w.recover() },
+	"mute machines": func(w *day, _, _ string) {
+		w.some(5, func(id string) { w.mute[id] = true })
+		w.after(time.Duration(4+w.rng.IntN(40))*time.Second, func() { clear(w.mute) })
+	},
+	"a mute zone": func(w *day, _, _ string) {
+		for id, f := range w.workers {
+			if f.Zone == "z2" {
+				w.mute[id] = true
+			}
+		}
+		w.after(time.Duration(4+w.rng.IntN(30))*time.Second, func() { clear(w.mute) })
+	},
+	"machines hang": func(w *day, _, _ string) {
+		w.some(10, func(id string) { w.hang(id, time.Duration(2+w.rng.IntN(30))*time.Second) })
+	},
+	"cancelled now":        func(w *day, node, _ string) { w.cancelNow(node) },
+	"cancelled at the end": func(w *day, _, _ string) { w.atEnd = w.now + 30*time.Second },
+	"odd requests":         func(w *day, _, _ string) { w.oddRequests() },
+	"held reports":         func(w *day, _, _ string) { w.holdReports = true },
+	"leaders change": func(w *day, _, _ string) {
+		w.changeLeaders([]string{"red", "blue", "free"}[w.rng.IntN(3)], 10, time.Duration(3+w.rng.IntN(10))*time.Second)
+	},
+	"all away":      func(w *day, _, _ string) { w.allAway(w.lease() + time.Duration(w.rng.IntN(12))*time.Second) },
+	"a zone is cut": func(w *day, _, _ string) { w.cutZoneFor(time.Duration(5+w.rng.IntN(40)) * time.Second) },
+	"a zone is full": func(w *day, _, _ string) {
+		w.closed = []string{"z1", "z2"}[w.rng.IntN(2)]
+		w.after(30*time.Second, func() { w.closed = "" })
+	},
+	"all is well": func(w *day, _, _ string) { w.recover() },
 }
 
 // recover ends all troubles.
 func (w *world) recover() {
 	w.healed++
 	w.endOutage()
-	w.noCloud, w.holdDo, w.watchLag, w.lateWrite = false, false, 0, nil
+	w.noCloud, w.holdDo, w.watchLag, w.lateWrite, w.holdReports, w.closed = false, false, 0, nil, false, ""
+	w.joinZone()
 	w.heal()
 	clear(w.unreached)
 }
@@ -212,6 +245,7 @@
 		e.Tasks = rapid.IntRange(0, 9).Draw(t, "tasks")
 		e.Long = rapid.Bool().Draw(t, "long")
 		e.Cancel = rapid.IntRange(0, 8).Draw(t, "cancel")
+		e.Shape = rapid.IntRange(0, 2*len(shapes)).Draw(t, "shape")
 		return e
 	})
 }
@@ -236,22 +270,59 @@
 	open, all []string
 	// told is the newest final state that any user of a job was told.
 	final map[string]string
+	// replies are what waits for the answers to requests.
+	replies map[uint64]func(Answer)
+	// atEnd is until when jobs are called off as they end.
+	atEnd time.Duration
+}
+
+// shapes are the kinds of jobs beside arrays that may run anywhere.
+var shapes = []string{
+	`,"shape":"group"`, `,"shape":"group","samePlace":true`, `,"shape":"group","spread":true`,
+	`,"shape":"service","guessS":0.0,"dueS":null`, `,"shape":"service","guessS":0.0,"dueS":null,"spread":true`,
+	`,"yard":"z1"`, `,"yard":"z2"`, `,"samePlace":true`, `,"spread":true`, `,"builds":["large"]`, `,"loaners":false`,
+	`,"vcpus":4.0`, `,"urgency":"critical"`, `,"urgency":"low","dueS":null`,
+}
+
+// newDay has five controllers in two zones, machines of two types and two teams with a
+// limit.
+func newDay(t tester) *day {
+	w := newTunedWorld(t, five, func(s *settings.Settings) { s.Params.Teams[1].CPUsMax = 24 })
+	w.most, w.racing = 60, true
+	w.types = append(w.types, protocol.MachineType{Name: "large", CPUs: 8, MemoryGB: 32, CacheGB: 50, FetchGBPS: 1, Price: 3, SpotPrice: 1.2,
+		BootS: 5, Zones: []string{"z1", "z2"}})
+	w.twoZones()
+	for i := range 60 {
+		id := w.addWorker(fmt.Sprintf("z%d", 1+i%2), i%3 == 0)
+		if i%6 == 5 {
+			w.workers[id].Type = "large"
+		}
+	}
+	w.ready().run(10*time.Second, nil)
+	d := &day{world: w, final: map[string]string{}, replies: map[uint64]func(Answer){}}
+	w.tell = func(_ string, e Effect) {
+		if a, is := e.(Answer); is && d.replies[a.Req] != nil {
+			d.replies[a.Req](a)
+			delete(d.replies, a.Req)
+		}
+	}
+	w.later = append(w.later, func() bool { d.cancelEnding(); return false })
+	return d
 }
 
 // playDay plays a day, and checks over what users and workers see that every rule holds,
 // and that all that was accepted is known, begins and ends once all troubles are over.
 func playDay(t tester, events []event) {
-	d := &day{world: idleWorld(t, 60), final: map[string]string{}}
-	d.racing = true
+	d := newDay(t)
 	for n, e := range events {
 		d.rng = rand.New(rand.NewPCG(e.Seed, 23))
 		d.submitAll(n, e)
-		troubles[e.What](d.world, d.names[e.Node], d.names[e.Other])
+		troubles[e.What](d, d.names[e.Node], d.names[e.Other])
 		d.pollSome()
 		d.run(e.Pause, nil)
 		if node := d.serving(); node != "" && e.Cancel > 0 && e.Cancel <= len(d.open) {
 			id := d.open[e.Cancel-1]
-			d.learn(id, d.question(node, func(req uint64) Command { return Cancel{Req: req, ID: id} }))
+			d.learner(id)(d.question(node, func(req uint64) Command { return Cancel{Req: req, ID: id} }))
 			// Whether it was confirmed or not its user has asked for it.
 			d.open = slices.Delete(d.open, e.Cancel-1, e.Cancel)
 		}
@@ -259,8 +330,13 @@
 	d.recover()
 	d.isKnown(75 * time.Second)
 	d.allBegin(4 * time.Minute)
-	if !d.run(20*time.Minute, d.finished(d.open...)) {
-		t.Errorf("jobs do not end once all troubles have")
+	d.noneWaits(90 * time.Second)
+	if !d.run(20*time.Minute, d.served) {
+		for _, id := range d.open {
+			if s, _ := d.state(id); s.State != protocol.Done {
+				t.Errorf("%s (%d tasks, %d on machines) does not end once all troubles have", id, d.specs[id].Tasks, d.onMachines(id))
+			}
+		}
 	}
 	for _, id := range d.all {
 		if s, _ := d.state(id); s.State == protocol.Done {
@@ -273,6 +349,143 @@
 	}
 }
 
+// served tells whether all jobs are done, and all replicas of services up.
+func (d *day) served() bool {
+	return !slices.ContainsFunc(d.open, func(id string) bool {
+		s, _ := d.state(id)
+		return s.State != protocol.Done && (d.specs[id].Kind != job.Service || d.onMachines(id) < d.specs[id].Tasks)
+	})
+}
+
+// services counts the open services: they never end, and may not fill all machines.
+func (d *day) services() (n int) {
+	for _, id := range d.open {
+		if d.specs[id].Kind == job.Service {
+			n++
+		}
+	}
+	return n
+}
+
+// request sends a request whose answer is taken whenever it comes.
+func (d *day) request(make1 func(req uint64) Command, take func(Answer)) {
+	node := d.serving()
+	if node == "" {
+		return
+	}
+	d.nextReq++
+	d.replies[d.nextReq] = take
+	d.send(node, make1(d.nextReq))
+}
+
+// callOff cancels an open job, and asks for it.
+func (d *day) callOff(id string) {
+	d.open = slices.DeleteFunc(d.open, func(o string) bool { return o == id })
+	d.request(func(req uint64) Command { return Cancel{Req: req, ID: id} }, d.learner(id))
+	d.request(func(req uint64) Command { return Status{Req: req, ID: id} }, d.learner(id))
+}
+
+// cancelNow has jobs called off that run, some of whose machines hang, while the state
+// service refuses one controller; then it is out for all, for longer than a cancellation
+// may take.
+func (d *day) cancelNow(node string) {
+	hung := 0
+	for range min(4, len(d.open)) {
+		id := d.open[d.rng.IntN(len(d.open))]
+		if d.onMachines(id) == 0 {
+			continue
+		}
+		for _, m := range slices.Sorted(maps.Keys(d.workers)) {
+			if hung < 8 && slices.ContainsFunc(d.workers[m].Tasks, func(t protocol.TaskReport) bool { return strings.HasPrefix(t.Task, id+"/") }) && d.rng.IntN(3) == 0 {
+				hung++
+				d.hang(m, time.Duration(2+d.rng.IntN(34))*time.Second)
+			}
+		}
+		d.callOff(id)
+	}
+	if d.sound(node) {
+		d.refuseStore(node)
+	}
+	d.after(time.Second, func() { d.outage = true })
+	d.after(time.Second+d.allowed()*6/5, d.endOutage)
+}
+
+// cancelEnding calls jobs off at the moment at which their last task ends, for a while.
+func (d *day) cancelEnding() {
+	if d.now >= d.atEnd {
+		return
+	}
+	for _, id := range slices.Clone(d.open) {
+		n := 0
+		for d.completed[fmt.Sprintf("%s/%d", id, n)] {
+			n++
+		}
+		if s, _ := d.state(id); n == d.specs[id].Tasks && s.State == "" {
+			d.callOff(id)
+		}
+	}
+}
+
+// oddRequests repeats submissions, also in other words, calls off what has ended, and hands
+// in what is malformed or can never run.
+func (d *day) oddRequests() {
+	for range min(3, len(d.all)) {
+		id := d.all[d.rng.IntN(len(d.all))]
+		body := submission(id, d.specs[id].Team, d.specs[id].Tasks, []string{"", `,"vcpus":900.0`, `,"guessS":null`}[d.rng.IntN(3)])
+		learn := d.learner(id)
+		d.request(func(req uint64) Command { return Submit{Req: req, Body: []byte(body)} }, func(a Answer) {
+			if learn(a); a.Status == http.StatusBadRequest || a.Status == http.StatusUnprocessableEntity {
+				d.t.Errorf("%v: a repeated submission of %s got %d", d.now, id, a.Status)
+			}
+		})
+		if d.final[id] == protocol.Done {
+			d.request(func(req uint64) Command { return Cancel{Req: req, ID: id} }, d.learner(id))
+		}
+	}
+	for more, want := range map[string]int{
+		`,"bundle":null`: http.StatusBadRequest,
+		`,"vcpus":64.0`:  http.StatusUnprocessableEntity,
+		`,"shape":"group","yard":"z1","spread":true`: http.StatusUnprocessableEntity,
+	} {
+		body := submission(fmt.Sprintf("req-free-odd-%d", d.rng.Uint64()), "free", 4, more)
+		d.request(func(req uint64) Command { return Submit{Req: req, Body: []byte(body)} }, func(a Answer) {
+			if a.Status != want && a.Status != http.StatusServiceUnavailable {
+				d.t.Errorf("%v: what has %s got %d", d.now, more, a.Status)
+			}
+		})
+	}
+}
+
+// cutZoneFor cuts the second zone off for a while.
+func (d *day) cutZoneFor(t time.Duration) {
+	if d.zoneCut != "" {
+		return
+	}
+	d.cutZone("z2")
+	d.after(t, d.joinZone)
+}
+
+// noneWaits checks that no job has nothing on machines for that long while there is room
+// for it and its team is under its limit.
+func (d *day) noneWaits(within time.Duration) {
+	since := map[string]time.Duration{}
+	for end := d.now + 3*within; d.now < end && !d.served(); d.run(time.Second, nil) {
+		for _, id := range d.open {
+			s, _ := d.state(id)
+			if s.State != "" || d.onMachines(id) > 0 || !d.hasRoom(d.specs[id]) {
+				delete(since, id)
+				continue
+			}
+			if _, waits := since[id]; !waits {
+				since[id] = d.now
+			}
+			if d.now-since[id] > within {
+				d.t.Fatalf("%v: %s waits for %v beside room", d.now, id, within)
+			}
+		}
+	}
+}
+
 // serving names a controller that may answer users, or none.
 func (w *world) serving() string {
 	for _, i := range w.rng.Perm(len(w.names)) {
@@ -295,7 +508,11 @@
 			return
 		}
 		id := fmt.Sprintf("req-%s-%d", team, n)
-		body := []byte(submission(id, team, e.Tasks, ""))
+		more := ""
+		if e.Shape < len(shapes) && team != "red" && !(strings.Contains(shapes[e.Shape], "service") && (team == "blue" || d.services() > 2)) {
+			more = shapes[e.Shape]
+		}
+		body := []byte(submission(id, team, e.Tasks, more))
 		if d.question(node, func(req uint64) Command { return Submit{Req: req, Body: body} }).Status == http.StatusCreated {
 			d.open, d.all = append(d.open, id), append(d.all, id)
 		}
@@ -311,7 +528,7 @@
 	}
 	for range min(2, len(d.all)) {
 		id := d.all[d.rng.IntN(len(d.all))]
-		d.learn(id, d.poll(node, id))
+		d.learner(id)(d.poll(node, id))
 	}
 	if a := d.poll(node, "req-nobody-1"); a.Status == http.StatusOK {
 		d.t.Errorf("a job that nobody has submitted is %v", a.Body)
@@ -331,17 +548,25 @@
 	return d.question(node, func(req uint64) Command { return Status{Req: req, ID: id} })
 }
 
-// learn checks an answer against what was told before.
-func (d *day) learn(id string, a Answer) {
+// learner takes an answer to a request on a job that is sent now: it may not be older than
+// what its user had been told by then, and a job has one final state.
+func (d *day) learner(id string) func(Answer) {
+	before := d.final[id]
+	return func(a Answer) { d.learn(id, before, a) }
+}
+
+// learn checks an answer against what was told before it was asked for.
+func (d *day) learn(id, before string, a Answer) {
 	s, is := a.Body.(protocol.JobState)
-	switch before := d.final[id]; {
+	switch now := d.final[id]; {
 	case a.Status == http.StatusNotFound:
 		d.t.Errorf("%v: %s was accepted and is not known", d.now, id)
 	case !is || a.Status != http.StatusOK:
-	case before != "" && s.State != before:
-		d.t.Errorf("%v: %s was %s and is %s", d.now, id, before, s.State)
+	case before != "" && s.State != before,
+		now != "" && s.State != now && (s.State == protocol.Done || s.State == protocol.Cancelled):
+		d.t.Errorf("%v: %s was %s and is %s", d.now, id, now, s.State)
 	case s.State == protocol.Cancelled:
-		if d.final[id] = s.State; before == "" {
+		if d.final[id] = s.State; now == "" {
 			d.told[id] = d.now
 		}
 	case s.State == protocol.Done:
@@ -351,13 +576,13 @@
 
 // isKnown checks that each job is answered by some controller within that time.
 func (d *day) isKnown(within time.Duration) {
-	asked := map[uint64]string{}
+	asked, learn := map[uint64]string{}, map[uint64]func(Answer){}
 	known := map[string]bool{}
 	for end := d.now + within; d.now < end && len(known) < len(d.all); d.run(5*time.Second, nil) {
 		for _, id := range d.all {
 			if !known[id] {
 				d.nextReq++
-				asked[d.nextReq] = id
+				asked[d.nextReq], learn[d.nextReq] = id, d.learner(id)
 				d.send(d.names[d.rng.IntN(len(d.names))], Status{Req: d.nextReq, ID: id})
 			}
 		}
@@ -365,7 +590,7 @@
 		for req, id := range asked {
 			if a, there := d.answers[req]; there {
 				delete(asked, req)
-				d.learn(id, a)
+				learn[req](a)
 				if a.Status == http.StatusOK {
 					known[id] = true
 				}
@@ -380,11 +605,13 @@
 }
 
 // allBegin checks that all jobs begin in time. A team at its limit waits for its own
-// tasks; what may be asked of it is that it does not wait while it has room for one.
+// tasks; what may be asked of it is that it does not wait while it has room for one. Of the
+// other one with a limit, whose jobs are of all shapes, noneWaits asks the same.
 func (d *day) allBegin(within time.Duration) {
 	waits := func(team string) bool {
 		return slices.ContainsFunc(d.open, func(id string) bool {
-			return strings.HasPrefix(id, "req-red") == (team == "red") && d.startsOf(id) == 0
+			limited := !strings.HasPrefix(id, "req-free")
+			return limited == (team == "red") && !strings.HasPrefix(id, "req-blue") && d.startsOf(id) == 0
 		})
 	}
 	idle := time.Duration(0)
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -220,6 +220,18 @@
 	return changed
 }
 
+// complete notes that a task has ended by itself. The tasks of a gang complete together, and
+// the results are kept: one that is started again has nothing left to do.
+func (w *world) complete(task string) {
+	w.completed[task] = true
+	id, _, _ := job.SplitTask(task)
+	if s := w.specs[id]; s != nil && s.Kind == job.Gang {
+		for n := range s.Tasks {
+			w.completed[s.TaskID(n)] = true
+		}
+	}
+}
+
 // attemptOf names an attempt of a job.
 func (k taskAttempt) attemptOf(id string) taskAttempt { return taskAttempt{id, k.attempt} }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -131,17 +131,30 @@
 		u.retries++
 		c.send(u)
 	default:
-		u.undo()
+		c.undo(u)
 		// The state service is down or overloaded: store nothing for a moment.
 		c.sched.storeAfter = c.now.Steady + c.reportInterval()/6
 	}
 }
 
-// undo marks what an update was to store as changed again.
-func (u *update) undo() {
+// undo marks what an update was to store as changed again. What it was to bind of a job
+// that was cancelled meanwhile never will be stored, nor started.
+func (c *Core) undo(u *update) {
 	u.job.InFlight = false
 	u.job.Retouch(u.writes)
 	u.job.Ended = append(u.ended, u.job.Ended...)
+	if u.job.Cancelled {
+		c.unbindUnstored(u.job)
+	}
+}
+
+// unbindUnstored ends the bindings that the store does not hold.
+func (c *Core) unbindUnstored(j *job.Job) {
+	for i, b := range ordered(j.Bound) {
+		if !b.Stored {
+			c.unbind(j, i)
+		}
+	}
 }
 
 func (c *Core) updateApplied(u *update, revision uint64) {
@@ -175,7 +188,7 @@
 		c.get(head, func(r StoreReply) { c.headRead(u, r) })
 		return
 	}
-	u.undo()
+	c.undo(u)
 	if slices.Contains(failed, cancelKey(j.ID)) {
 		c.cancelKnown(Word{Job: j.ID, Revision: r.Revision})
 	}
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -198,3 +198,53 @@
 		t.Errorf("replicas are in %v, %d machines were rented", zones, w.rented)
 	}
 }
+
+// A cancellation meets the write that binds more of the job's tasks, and its home hears of
+// it before that write's answer: the binding stayed, and was written again with all changes
+// that the home has, in vain and for ever.
+func TestCancellationMeetsABindingOnItsWay(t *testing.T) {
+	const id = "req-free-1"
+	w := newWorldOf(t, five).ready()
+	w.racing, w.taskTime = true, 10*time.Minute
+	home, writes, met := w.homeOf("free"), 0, false
+	w.tell = func(node string, e Effect) {
+		txn, is := e.(StoreTxn)
+		if !is || node != home || !slices.ContainsFunc(txn.Txn.Then, func(ch protocol.Change) bool { return ch.Put == activeKey(id) }) {
+			return
+		}
+		if writes++; met || len(txn.Txn.If) < 4 {
+			return // it binds nothing
+		}
+		met = true
+		r := w.decide(protocol.Txn{If: []protocol.Condition{{Key: keyState + id}},
+			Then: []protocol.Change{put(keyState+id, stateKey{State: protocol.Cancelled}), put(cancelKey(id), cancelMark{})}})
+		w.send(home, PeerIn{Node: w.notHome(home), Msg: PeerMsg{Words: []Word{{Job: id, Revision: r.Revision}}}})
+	}
+	accepted(t, w.submit("a", id, 40, ""))
+	if !w.run(20*time.Second, func() bool { return met }) {
+		t.Fatal("nothing was bound")
+	}
+	writes = 0
+	if !w.run(20*time.Second, func() bool { return w.kv[activeKey(id)].Version == 0 }) || writes > 5 {
+		t.Errorf("it has not ended, after %d writes", writes)
+	}
+}
+
+// A gang that waits for its team's limit, and not for machines, gathers none: it held all that
+// came free, and others waited beside them.
+func TestGangAtItsLimitGathersNothing(t *testing.T) {
+	w := newWorldOf(t, five)
+	w.most, w.racing, w.taskTime = 8, true, 10*time.Minute
+	w.ready()
+	accepted(t, w.submit("a", "req-red-1", 6, ""))
+	w.started("req-red-1", 6)
+	accepted(t, w.submit("a", "req-red-2", 6, `,"shape":"group","dueS":null`)) // six more are over 16 CPUs
+	w.run(5*time.Minute, nil)                                                  // it has waited for four time-outs
+	if w.onMachines("req-red-2") > 0 || w.inUse("red") != 12 {
+		t.Fatal("the team is not at its limit")
+	}
+	accepted(t, w.submit("b", "req-free-3", 10, ""))
+	if !w.run(time.Minute, func() bool { return w.onMachines("req-free-3") == 10 }) {
+		t.Errorf("%d of 10 tasks of another team run", w.onMachines("req-free-3"))
+	}
+}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -402,8 +402,10 @@
 	for tier := u.jobs[0].Priority; len(u.jobs) > 0 && u.jobs[0].Priority == tier; {
 		j := u.jobs[0]
 		if c.sched.stuck.holds(j, c.cheapOnly(u, j), c.sched.keptNeeds) {
+			if withinLimit(u.team, u.used.Plus(j.Need, 1)) {
+				c.wants(j, c.allowance(j))
+			}
 			c.unplaced(u, j, c.allowance(j))
-			c.wants(j, c.allowance(j))
 			u.jobs = u.jobs[1:]
 			continue
 		}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -405,7 +405,7 @@
 	if c == nil || w.frozen[node] {
 		return
 	}
-	if !w.outage && !w.cut[node] && w.seen[node] < uint64(len(w.events)) && w.now >= w.watchedAt[node]+w.watchLag && (w.slowWatcher == "" || w.slowWatcher != node) {
+	if !w.outage && !w.cut[node] && !w.unread[node] && w.seen[node] < uint64(len(w.events)) && w.now >= w.watchedAt[node]+w.watchLag && (w.slowWatcher == "" || w.slowWatcher != node) {
 		w.watchedAt[node] = w.now
 		w.send(node, Watched{Revision: w.revision, Events: slices.Clone(w.events[w.seen[node]:])})
 		w.seen[node] = uint64(len(w.events))
@@ -706,7 +706,7 @@
 			end, ok := f.running[taskAttempt{task.Task, task.Attempt}]
 			if ok && task.State == protocol.Running && w.now >= end {
 				f.Tasks[i].State, f.Tasks[i].Why = protocol.Exited, protocol.WhyDone
-				w.completed[task.Task] = true
+				w.complete(task.Task)
 				if id, _, _ := job.SplitTask(task.Task); w.broken[id] || w.faulty[f.Machine] {
 					f.Tasks[i].Why = protocol.WhyError
 				}
