Count the room of idle work only where that work would be stopped

Cause: renting took all room of work for idle time as covering other demand, but such a task is stopped only where that loses less work than waits: beside long idle tasks short jobs waited, with nothing stopped and nothing rented, until those ended. Change: a host that yields says what stopping the cheapest task loses.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -77,7 +77,7 @@
 	for _, d := range inOrder(demands) {
 		room := hosts
 		if d.Right > Idle {
-			room = append(slices.Clip(hosts), yielding...)
+			room = append(slices.Clip(hosts), yieldingTo(d.Spec, yielding)...)
 		}
 		at := whereabouts(d, room, offers, limit)
 		left, picker := d.Tasks, placement.NewPicker(d.Spec, at.in(room))
@@ -114,6 +114,14 @@
 
 func byPrice(a, b Offer) int { return cmp.Compare(a.unitPrice(), b.unitPrice()) }
 
+// yieldingTo leaves out hosts on which more work would be lost than a task has: nothing is
+// stopped there for it, and where their room counted none was rented either.
+func yieldingTo(s *job.Spec, hosts []*placement.Host) []*placement.Host {
+	return slices.DeleteFunc(slices.Clone(hosts), func(h *placement.Host) bool {
+		return s.Kind != job.Service && max(h.Loss, h.LossPerCPU*s.Need.CPUs) > s.Need.CPUs*s.EstimateS
+	})
+}
+
 // place is where machines for the tasks of a job may be. Rented wherever they are cheapest
 // they were of no use to a job whose other tasks are in another zone, or which is to be
 // spread over two, and were returned and rented again for as long as it waited.
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -126,3 +126,27 @@
 		}
 	}
 }
+
+// Nor is the room counted where stopping idle work would lose more than the work that waits:
+// nothing was stopped for it there and nothing rented, for as long as the idle tasks ran.
+func TestRoomOfIdleWorkCountsOnlyWhereItIsStopped(t *testing.T) {
+	size := job.Resources{CPUs: 64, MemoryGB: 256}
+	for name, c := range map[string]struct {
+		loss, perCPU float64
+		kind         job.Kind
+		orders       int
+	}{
+		"just begun":            {loss: 80, perCPU: 5, orders: 0},
+		"long tasks":            {loss: 8000, perCPU: 500, orders: 1},
+		"many small long tasks": {loss: 100, perCPU: 100, orders: 1},
+		"one large short task":  {loss: 640, perCPU: 10, orders: 1},
+		"for a service":         {loss: 8000, perCPU: 500, kind: job.Service, orders: 0},
+	} {
+		d := demand(16, 2, true)
+		d.Spec.EstimateS, d.Spec.Kind, d.Spec.Tasks, d.Right = 30, c.kind, 2, Plain
+		yielding := []*placement.Host{{Type: "large", Zone: "a", Spot: true, Lasts: -1, Size: size, Room: size, Loss: c.loss, LossPerCPU: c.perCPU}}
+		if got := Plan([]Demand{d}, nil, yielding, offers(), 9); len(got) != c.orders {
+			t.Errorf("%s: %d orders, want %d", name, len(got), c.orders)
+		}
+	}
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -31,6 +31,9 @@
 	Dear float64
 	// GPUShare is its accelerators relative to the type that has most.
 	GPUShare float64
+	// Loss is the least work, in CPU seconds, that is lost where one task is stopped to make
+	// room here, and LossPerCPU the least for each CPU.
+	Loss, LossPerCPU float64
 	// Report is about how many bytes its report will have. A report may not be
 	// longer than a request, so a machine can't take any number of tiny tasks.
 	Report int
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -73,8 +73,8 @@
 }
 
 // yielding lists the machines with work for idle time, with the room there would
-// be without it. Other work takes that room; machines rented for it would stand
-// idle when they come.
+// be without it and what stopping it loses. Other work takes that room; machines rented for
+// it would stand idle when they come.
 func (c *Core) yielding() []*placement.Host {
 	var out []*placement.Host
 	for id, m := range ordered(c.machines) {
@@ -82,16 +82,18 @@
 		if on == nil || m.NoticeAt > 0 || !c.usable(m) {
 			continue
 		}
-		idle := job.Resources{}
-		for ref := range on.Tasks {
+		idle, least, perCPU := job.Resources{}, math.Inf(1), math.Inf(1)
+		for ref, b := range on.Tasks {
 			if lowest(ref.Job) {
 				idle = idle.Plus(ref.Job.Need, 1)
+				loss := c.loss(ref.Job, m, ref.Job.TaskID(ref.Index), b.Attempt)
+				least, perCPU = min(least, loss), min(perCPU, loss/max(ref.Job.Need.CPUs, 1e-3))
 			}
 		}
 		if idle.CPUs > 0 {
 			size := capacity(c.types[m.Type])
 			out = append(out, &placement.Host{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Size: size, Lasts: -1,
-				Room: size.Plus(c.boundLoad(m), -1).Plus(idle, 1)})
+				Room: size.Plus(c.boundLoad(m), -1).Plus(idle, 1), Loss: least, LossPerCPU: perCPU})
 		}
 	}
 	return out
@@ -155,11 +157,7 @@
 		if b == nil || b.Attempt != t.Attempt || b.Stopping || b.StopSent > 0 && c.now.Steady-b.StopSent < c.reportInterval() {
 			continue
 		}
-		loss := v.Need.CPUs * m.Ran(t.Task, t.Attempt, c.now.Steady).Seconds()
-		if v.CheckpointS > 0 {
-			loss = v.Need.CPUs * v.SaveS
-		}
-		all = append(all, victim{v, i, b, loss})
+		all = append(all, victim{v, i, b, c.loss(v, m, t.Task, t.Attempt)})
 	}
 	slices.SortFunc(all, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
 	room, sum := h.Room, 0.0
@@ -172,6 +170,14 @@
 	return nil, 0
 }
 
+// loss is the work that is lost where a task is stopped, in CPU seconds.
+func (c *Core) loss(j *job.Job, m *worker.Machine, task string, attempt uint64) float64 {
+	if j.CheckpointS > 0 {
+		return j.Need.CPUs * j.SaveS
+	}
+	return j.Need.CPUs * m.Ran(task, attempt, c.now.Steady).Seconds()
+}
+
 // mayStop is the users' rule on preemption, within what the operator allows.
 func (c *Core) mayStop(j, v *job.Job) bool {
 	switch {
