Tell of a cancellation that a watch alone brought only once another controller knows

Cause: a controller that knew a cancellation by its watch told a user who asked, though the one that stored it may have ended and no other watch may have brought it (a residue in docs/cancel.md). Change: such a question waits for another controller to know, as the one that stored it does; that job's word goes out when it is asked for.

--- a/internal/core/aside.go
+++ b/internal/core/aside.go
@@ -282,7 +282,7 @@
 		}
 	}
 	slices.SortFunc(old, func(a, b *job.Job) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(c.holdsFrom(a), c.holdsFrom(b)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(c.turnAt(a), c.turnAt(b)), cmp.Compare(a.ID, b.ID))
 	})
 	for _, j := range old {
 		placement.Hold(&j.Spec, j.Waiting(), hosts)
--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -52,6 +52,9 @@
 // no more than one.
 func (c *Core) inquire(id string, tell func(finding, protocol.JobState)) {
 	if s, ok := c.finals[id]; ok {
+		if c.untold[id] == nil {
+			c.announceCancel(id) // known by the watch alone, perhaps
+		}
 		if w := c.untold[id]; w != nil {
 			w.waiting = append(w.waiting, question{id: id, tell: tell, at: c.now.Steady})
 			return
--- a/internal/core/words.go
+++ b/internal/core/words.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// announceCancel tells all other controllers of a cancellation that this node has stored,
-// ahead of their watches, which may be refused or end with the state service at any
+// announceCancel tells all other controllers of a cancellation that this node has stored or
+// is asked about, ahead of their watches, which may be refused or end with the state service at any
 // moment. No user is told before another controller knows: else nobody would, if this node
 // ended and the state service with it.
 func (c *Core) announceCancel(id string) {
--- a/internal/core/words_test.go
+++ b/internal/core/words_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -203,3 +204,43 @@
 		})
 	}
 }
+
+// A controller may know a cancellation by its watch alone, the one that stored it having ended:
+// it is held to what that one is held to, and tells no user before another one knows.
+func TestWatchAloneIsToldOnlyOnceAnotherKnows(t *testing.T) {
+	w := idleWorld(t, 20)
+	w.racing, w.taskTime = true, 10*time.Minute
+	accepted(t, w.submit("b", refusedJob, 40, ""))
+	w.started(refusedJob, 40)
+	w.refuse(everyLink)
+	for _, n := range []string{"a", "c", "d", "e"} {
+		w.watchedAt[n] = w.now + time.Hour // their watches bring nothing
+	}
+	w.watchLag = time.Second
+	w.send("d", Cancel{Req: 1 << 20, ID: refusedJob})
+	if !w.run(time.Second, func() bool { return w.kv[cancelKey(refusedJob)].Version > 0 }) {
+		t.Fatal("the cancellation is not stored")
+	}
+	w.crash("d")
+	w.run(2*time.Second, nil)
+	b := w.cores["b"]
+	if b.words[refusedJob] == nil || b.anotherKnows(b.words[refusedJob]) {
+		t.Fatal("b is not the only one that knows")
+	}
+	for _, make1 := range []func(req uint64) Command{
+		func(req uint64) Command { return Status{Req: req, ID: refusedJob} },
+		func(req uint64) Command { return Cancel{Req: req, ID: refusedJob} },
+		func(req uint64) Command {
+			return Submit{Req: req, Body: []byte(submission(refusedJob, "free", 40, ""))}
+		},
+	} {
+		if a := w.ask("b", make1); a.Status != http.StatusServiceUnavailable {
+			t.Errorf("told %v while nobody else knows", a.Body)
+		}
+	}
+	w.restore()
+	w.run(time.Second, nil)
+	if s := stateOf(t, w.status("b", refusedJob)); s.State != protocol.Cancelled {
+		t.Errorf("once others know it is %q", s.State)
+	}
+}
