--- /dev/null
+++ b/internal/core/cancelnow_test.go
@@ -0,0 +1,179 @@
+package core
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
+)
+
+// tunedIdleWorld is idleWorld with other times for leases and cancellations.
+func tunedIdleWorld(t tester, machines int, lease, cancel float64) *world {
+	t.Helper()
+	w := newTunedWorld(t, five, func(s *settings.Settings) { s.Params.Workers.LeaseS, s.Params.Workers.CancelS = lease, cancel })
+	w.most, w.racing, w.taskTime = machines, true, 20*time.Minute
+	for i := range machines {
+		w.addWorker(fmt.Sprintf("z%d", 1+i%2), false)
+	}
+	w.ready().run(10*time.Second, nil)
+	return w
+}
+
+// Jobs are called off at the very moment at which the state service refuses the leader alone; a
+// second later it is out for longer than cancel_s, and up to eight of their machines hang and
+// go on later.
+func TestCancelledAtTheMomentTheLeaderIsRefused(t *testing.T) {
+	times := []struct{ lease, cancel float64 }{{16, 30}, {12, 32}, {26, 51}, {16, 20}}
+	hangs := map[string]func(w *world) time.Duration{
+		"no hang":                 func(*world) time.Duration { return 0 },
+		"shorter than the lease":  func(w *world) time.Duration { return w.lease() * 3 / 4 },
+		"just under cancel_s":     func(w *world) time.Duration { return w.allowed() - time.Second },
+		"just over cancel_s":      func(w *world) time.Duration { return w.allowed() + time.Second },
+		"hang and mute":           func(w *world) time.Duration { return w.lease() / 2 },
+		"then report to one more": func(w *world) time.Duration { return w.lease() / 2 },
+	}
+	for hang, long := range hangs {
+		for _, p := range times {
+			for _, links := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, lease %v, cancel %v, links %v", hang, p.lease, p.cancel, links), func(t *testing.T) {
+					t.Parallel()
+					w := tunedIdleWorld(t, 20, p.lease, p.cancel)
+					accepted(t, w.submit("b", refusedJob, 40, ""))
+					w.started(refusedJob, 40)
+					leader := w.homeOf("free")
+					if !links {
+						w.refuse(everyLink)
+					}
+					hung := 0
+					for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+						if d := long(w); d > 0 && hung < 8 && w.loadOf(w.workers[id], "").CPUs > 0 {
+							w.hang(id, d)
+							w.mute[id] = hang == "hang and mute"
+							w.unheardBy[link{leader, id}] = hang == "then report to one more"
+							hung++
+						}
+					}
+					w.refuseStore(leader)
+					w.confirm()
+					w.run(time.Second, nil)
+					w.outage = true
+					before := w.onMachines(refusedJob)
+					if hang != "no hang" && (hung != 8 || before == 0) {
+						t.Fatalf("%d machines hang, with %d tasks", hung, before)
+					}
+					w.run(w.allowed()*5/4, nil) // the world checks what is cancelled
+					if len(w.told) > 0 {
+						t.Error("the time allowed is not over")
+					}
+					w.recover()
+					w.run(w.allowed(), nil)
+					if n := w.onMachines(refusedJob); n > 0 {
+						t.Errorf("%d tasks run on", n)
+					}
+				})
+			}
+		}
+	}
+}
+
+// A cancellation, questions and a repeated submission meet the end of a job's last tasks, with no
+// other trouble: at the home and elsewhere, before and after the report, the end's write and
+// its answer. The job is done or cancelled, all say the same, done not before all has ended and
+// at most 3 s after.
+func TestCancellationMeetsTheEnd(t *testing.T) {
+	outcomes := map[string]int{}
+	for name, more := range map[string]string{
+		"one task": "", "two tasks that end in one report": "", "several chunks": "",
+		"a gang": `,"shape":"group"`, "a gang in one place": `,"shape":"group","samePlace":true`,
+	} {
+		tasks := map[string]int{"one task": 1, "several chunks": 130}[name]
+		if tasks == 0 {
+			tasks = 2
+		}
+		for _, home := range []bool{true, false} {
+			for tenths := -4; tenths < 12; tenths++ {
+				w := newWorldOf(t, five).ready()
+				w.racing, w.taskTime, w.most = true, 6*time.Second, 80
+				w.watchLag, w.latency = 300*time.Millisecond, true
+				id := "req-free-1"
+				accepted(t, w.submit("a", id, tasks, more))
+				w.run(time.Minute, func() bool { return w.startsOf(id) == tasks })
+				all := func() bool {
+					for n := range tasks {
+						if !w.completed[fmt.Sprintf("%s/%d", id, n)] {
+							return false
+						}
+					}
+					return true
+				}
+				at := w.now
+				w.run(20*time.Second, func() bool {
+					return all() || w.now-at >= 5500*time.Millisecond && tenths < 0 && w.now-at >= w.taskTime+time.Duration(tenths)*100*time.Millisecond
+				})
+				if all() {
+					w.run(time.Duration(max(0, tenths))*100*time.Millisecond, nil)
+				}
+				node := w.homeOf("free")
+				if !home {
+					node = w.notHome(node)
+				}
+				body := []byte(submission(id, "free", tasks, more))
+				var cancel Answer
+				reqs := map[uint64]string{}
+				for what, make1 := range map[string]func(req uint64) Command{
+					"cancel": func(req uint64) Command { return Cancel{Req: req, ID: id} },
+					"ask":    func(req uint64) Command { return Status{Req: req, ID: id} },
+					"repeat": func(req uint64) Command { return Submit{Req: req, Body: body} },
+				} {
+					w.nextReq++
+					reqs[w.nextReq] = what
+					w.send(node, make1(w.nextReq))
+				}
+				w.run(2*time.Second, func() bool {
+					for req, what := range reqs {
+						a, there := w.answers[req]
+						if !there {
+							continue
+						}
+						delete(reqs, req)
+						if s, is := a.Body.(protocol.JobState); is && s.State == protocol.Done && !all() {
+							t.Errorf("%s: done before all has ended", name)
+						}
+						if a.Status == http.StatusNotFound || a.Status == http.StatusBadRequest || a.Status == http.StatusUnprocessableEntity {
+							t.Errorf("%s: %s gets %d", name, what, a.Status)
+						}
+						if what == "cancel" {
+							cancel = a
+						}
+					}
+					return len(reqs) == 0
+				})
+				for range 5 {
+					if cancel.Status == http.StatusOK {
+						break
+					}
+					cancel = w.ask(node, func(req uint64) Command { return Cancel{Req: req, ID: id} })
+				}
+				told := stateOf(t, cancel)
+				outcomes[name+" "+told.State]++
+				w.run(2*time.Second, nil)
+				for _, n := range w.names {
+					if s := stateOf(t, w.status(n, id)); s.State != told.State {
+						t.Errorf("%s, %d tenths, home %v: told %s, and %s by %s", name, tenths, home, told.State, s.State, n)
+					}
+					if s := stateOf(t, w.ask(n, func(req uint64) Command { return Submit{Req: req, Body: body} })); s.State != told.State {
+						t.Errorf("%s: a repeat is answered %s after %s", name, s.State, told.State)
+					}
+				}
+			}
+		}
+		if outcomes[name+" done"] == 0 || outcomes[name+" cancelled"] == 0 {
+			t.Errorf("%s: the end and the cancellation never came close: %v", name, outcomes)
+		}
+	}
+}
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"testing"
@@ -248,3 +249,283 @@
 		t.Errorf("%d of 10 tasks of another team run", w.onMachines("req-free-3"))
 	}
 }
+
+// leads counts the homes that a team has had since the count began.
+func (w *world) leads(team string) func() int {
+	seen, last := 0, w.homeOf(team)
+	w.later = append(w.later, func() bool {
+		if home := w.homeOf(team); home != "" && home != last {
+			seen, last = seen+1, home
+		}
+		return false
+	})
+	return func() int { return seen }
+}
+
+// Leaders change ten times in two minutes, with an outage in the middle: jobs that run long
+// are started once, what is cancelled meanwhile stays so, and nobody starves after it.
+func TestLeadersChangeTenTimes(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		t.Run(fmt.Sprintf("outage %v", outage), func(t *testing.T) {
+			t.Parallel()
+			w := idleWorld(t, 20)
+			w.racing, w.uneven, w.taskTime = true, true, 50*time.Second
+			for n := range 4 {
+				accepted(t, w.submit("a", fmt.Sprintf("req-free-%d", n), 3, ""))
+			}
+			w.started("req-free-3", 3)
+			changes := w.leads("free")
+			w.changeLeaders("free", 20, 6*time.Second)
+			w.run(40*time.Second, nil)
+			if outage {
+				w.outage = true
+				w.run(15*time.Second, nil)
+				w.endOutage()
+			}
+			if node := w.serving(); w.cancelJob(node, "req-free-3").Status != http.StatusOK {
+				w.run(5*time.Second, nil)
+				w.cancelJob(w.serving(), "req-free-3")
+			}
+			accepted(t, w.submit(w.serving(), "req-free-9", 3, ""))
+			w.run(80*time.Second, nil)
+			if n := changes(); n < 10 {
+				t.Fatalf("the home has changed %d times", n)
+			}
+			if len(w.told) > 0 && w.onMachines("req-free-3") > 0 {
+				t.Error("what was cancelled runs")
+			}
+			w.recover()
+			w.run(75*time.Second, nil)
+			if w.startsOf("req-free-9") == 0 || !w.run(5*time.Minute, w.finished("req-free-0", "req-free-1", "req-free-2", "req-free-9")) {
+				t.Error("jobs do not go on once leaders stay")
+			}
+			w.startedOnce()
+		})
+	}
+}
+
+// All controllers are away for longer than a lease: every session has risen, machines were
+// taken meanwhile, and a cancellation was confirmed just before.
+func TestAllAreAwayForLongerThanALease(t *testing.T) {
+	for name, also := range map[string]func(w *world){
+		"nothing":        func(*world) {},
+		"machines taken": func(w *world) { w.some(3, func(id string) { delete(w.workers, id) }) },
+		"late reports":   func(w *world) { w.copying = true },
+		"an outage":      func(w *world) { w.outage = true; w.after(30*time.Second, w.endOutage) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := idleWorld(t, 20)
+			w.racing, w.taskTime = true, 25*time.Second
+			accepted(t, w.submit("a", "req-free-1", 20, ""))
+			accepted(t, w.submit("b", "req-red-2", 8, ""))
+			accepted(t, w.submit("b", "req-free-3", 6, ""))
+			w.run(30*time.Second, func() bool { return w.onMachines("req-free-3")+w.onMachines("req-red-2") == 14 })
+			w.run(3*time.Second, nil) // reports have come
+			if w.cancelJob("c", "req-free-3").Status != http.StatusOK || w.onMachines("req-red-2") != 8 {
+				t.Fatal("not confirmed, or not started")
+			}
+			machines := slices.Sorted(maps.Keys(w.workers))
+			also(w)
+			w.allAway(w.lease() * 3 / 2)
+			w.run(w.lease()*3/2+time.Second, nil)
+			if !w.sessions(machines) {
+				t.Fatal("no session has risen")
+			}
+			if !w.run(3*time.Minute, w.finished("req-free-1", "req-red-2")) {
+				t.Error("jobs do not end")
+			}
+			if s := stateOf(t, w.status("d", "req-free-3")); s.State != protocol.Cancelled || w.onMachines("req-free-3") > 0 {
+				t.Errorf("what was cancelled is %q", s.State)
+			}
+		})
+	}
+}
+
+// A zone with workers and controllers is cut off for longer than a lease: its tasks go on and
+// are neither started again nor lost, jobs bound to it wait, and what is cancelled outside is
+// gone in time.
+func TestZoneIsCutOffWithItsControllers(t *testing.T) {
+	for _, leases := range []float64{1.3, 2.5} {
+		t.Run(fmt.Sprint(leases, " leases"), func(t *testing.T) {
+			t.Parallel()
+			w := newWorldOf(t, five)
+			w.twoZones()
+			w.racing, w.taskTime = true, 4*time.Minute
+			w.ready()
+			accepted(t, w.submit("a", "req-free-1", 8, `,"yard":"z2"`))
+			accepted(t, w.submit("a", "req-blue-2", 4, `,"yard":"z2"`))
+			accepted(t, w.submit("a", "req-free-3", 8, `,"yard":"z1"`))
+			w.started("req-free-1", 8)
+			w.started("req-blue-2", 4)
+			w.run(20*time.Second, nil) // machines have settled with controllers of their zone, or others
+			w.cutZone("z2")
+			w.run(5*time.Second, nil)
+			if a := w.cancelJob("a", "req-blue-2"); a.Status != http.StatusOK {
+				t.Fatalf("cancellation got %d", a.Status)
+			}
+			accepted(t, w.submit("b", "req-free-4", 4, `,"yard":"z2"`))
+			accepted(t, w.submit("b", "req-free-5", 4, ""))
+			w.run(time.Duration(leases*float64(w.lease())), nil)
+			if w.onMachines("req-free-5") != 4 || w.onMachines("req-free-4") != 0 {
+				t.Errorf("%d tasks run outside, %d in the zone", w.onMachines("req-free-5"), w.onMachines("req-free-4"))
+			}
+			w.joinZone()
+			w.run(w.allowed(), nil)
+			if w.onMachines("req-blue-2") > 0 || len(w.told) > 0 {
+				t.Error("what was cancelled is left")
+			}
+			kept := 0
+			for i := range 8 {
+				if w.starts[fmt.Sprintf("req-free-1/%d", i)] == 1 {
+					kept++
+				}
+			}
+			if kept < 4 { // some were on machines that are given back for the cancelled job
+				t.Errorf("%d of 8 tasks in the zone went on", kept)
+			}
+			if !w.run(8*time.Minute, w.finished("req-free-1", "req-free-3", "req-free-4", "req-free-5")) {
+				t.Error("jobs do not end")
+			}
+		})
+	}
+}
+
+// A report is held back until its machine has changed controllers, begun a new session or been
+// given back, and then arrives: it is the only one of its number, newer than what most have.
+func TestReportIsHeldBackUntilANewLeaderHasActed(t *testing.T) {
+	for name, meanwhile := range map[string]func(w *world, f *fakeWorker){
+		"its controller ended":     func(w *world, f *fakeWorker) { n := w.names[f.node%5]; w.crash(n); w.expire(n) },
+		"a new session":            func(w *world, f *fakeWorker) { w.mute[f.Machine] = true; w.run(w.lease()*5/4, nil); clear(w.mute) },
+		"given back":               func(w *world, f *fakeWorker) { f.dead = true },
+		"the home has changed":     func(w *world, _ *fakeWorker) { h := w.homeOf("free"); w.crash(h); w.expire(h) },
+		"its task was cancelled":   func(w *world, _ *fakeWorker) { w.cancelJob("a", "req-free-1") },
+		"all controllers are back": func(w *world, _ *fakeWorker) { w.allAway(time.Second) },
+	} {
+		for _, to := range five {
+			t.Run(name+", to "+to, func(t *testing.T) {
+				t.Parallel()
+				w, _ := apartWorld(t, 10, "req-free-1")
+				w.started("req-free-1", 20)
+				w.run(3*time.Second, nil)
+				f := w.workers[slices.Sorted(maps.Keys(w.workers))[3]]
+				f.Seq++
+				held := w.snapshot(f)
+				held.Tasks = held.Tasks[:len(held.Tasks)/2] // as if one had not begun
+				meanwhile(w, f)
+				w.run(20*time.Second, nil)
+				if m := w.cores[w.serving()].machines[f.Machine]; m != nil && max(m.Seq, m.HeardSeq) <= held.Seq && m.Session == held.Session {
+					t.Fatal("nothing newer is known")
+				}
+				w.nextReq++
+				w.send(to, Beat{Req: w.nextReq, Report: held})
+				w.run(time.Minute, nil)
+				w.recover()
+				w.run(w.allowed(), nil) // the world checks starts, limits and what is cancelled
+				for _, node := range w.names {
+					if m := w.cores[node].machines[f.Machine]; m != nil && (m.Session < f.Session || w.workers[f.Machine] == nil) {
+						t.Errorf("%s has the machine in session %d", node, m.Session)
+					}
+				}
+			})
+		}
+	}
+}
+
+// There is more work than room, urgent and not, and all links are slow: claims and starts take
+// seconds. Nothing is bound to a machine that has no room for it for long, no limit is
+// passed, and all work ends.
+func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	w := idleWorld(t, 10)
+	w.racing, w.latency, w.taskTime = true, true, 8*time.Second
+	var ids []string
+	for n := range 4 {
+		for i, team := range []string{"red", "blue", "free"} {
+			id := fmt.Sprintf("req-%s-%d", team, n)
+			ids = append(ids, id)
+			accepted(t, w.submit(w.names[(n+i)%5], id, 12, []string{"", `,"urgency":"critical"`, `,"urgency":"low"`}[n%3]))
+		}
+	}
+	slow := 0
+	for range 30 { // links hold everything for three seconds and let it go for one
+		w.hold(everyLink)
+		w.run(3*time.Second, nil)
+		for _, held := range w.late {
+			slow += len(held)
+		}
+		w.restore()
+		w.run(time.Second, nil)
+	}
+	if slow == 0 || w.inUse("red") == 0 && w.startsOf("req-red-0") == 0 {
+		t.Fatal("nothing was slow, or nothing ran")
+	}
+	if !w.run(6*time.Minute, w.finished(ids...)) {
+		t.Error("jobs do not end")
+	}
+	for task, n := range w.starts {
+		if n > 3 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+}
+
+// A team is at its limit when its home ends; some of its machines can't be asked, and one of
+// its jobs is cancelled in that spell. What is cancelled counts until its end is proven, by
+// every home that follows, and the room is used again soon after.
+func TestTeamIsAtItsLimitWhenItsLeaderChanges(t *testing.T) {
+	for name, unasked := range map[string]func(w *world, id string){
+		"hang":      func(w *world, id string) { w.hang(id, 14*time.Second) },
+		"are cut":   func(w *world, id string) { w.unreached[id] = true },
+		"are mute":  func(w *world, id string) { w.mute[id] = true },
+		"are deaf":  func(w *world, id string) { w.unhearing[id] = true },
+		"are taken": func(w *world, id string) { delete(w.workers, id) },
+	} {
+		for _, twice := range []bool{false, true} {
+			t.Run(fmt.Sprintf("machines %s, twice %v", name, twice), func(t *testing.T) {
+				t.Parallel()
+				w := idleWorld(t, 20)
+				w.racing, w.taskTime = true, 5*time.Minute
+				accepted(t, w.submit("a", "req-red-1", 4, ""))
+				accepted(t, w.submit("a", "req-red-2", 4, ""))
+				accepted(t, w.submit("a", "req-red-3", 8, ""))
+				w.run(30*time.Second, func() bool { return w.inUse("red") == 16 })
+				first := "req-red-1"
+				if w.onMachines(first) == 0 {
+					first = "req-red-3"
+				}
+				if w.inUse("red") != 16 || w.onMachines(first) == 0 {
+					t.Fatal("the team is not at its limit")
+				}
+				for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+					if w.loadOf(w.workers[id], "red").CPUs > 0 {
+						unasked(w, id)
+					}
+				}
+				home := w.homeOf("red")
+				w.crash(home)
+				w.expire(home)
+				w.run(time.Second, nil)
+				a := w.cancelJob(w.serving(), first)
+				if a.Status != http.StatusOK {
+					w.run(3*time.Second, nil)
+					a = w.cancelJob(w.serving(), first)
+				}
+				if a.Status != http.StatusOK {
+					t.Fatalf("cancellation got %d", a.Status)
+				}
+				if twice {
+					w.run(4*time.Second, nil)
+					if next := w.homeOf("red"); next != "" && w.cores[next] != nil {
+						w.crash(next)
+						w.expire(next)
+					}
+				}
+				w.run(w.lease(), nil) // the world checks the limit with every start
+				w.recover()
+				if !w.run(90*time.Second, func() bool { return w.inUse("red") == 16 }) {
+					t.Errorf("90 s after all troubles the team uses %v of 16 CPUs", w.inUse("red"))
+				}
+			})
+		}
+	}
+}
