--- a/internal/core/day_test.go
+++ b/internal/core/day_test.go
@@ -130,6 +130,7 @@
 		}
 	},
 	"all end and one is back": func(w *day, node, _ string) {
+		w.forgotten = true
 		for _, n := range w.names {
 			if w.cores[n] != nil {
 				w.crash(n)
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -99,6 +99,15 @@
 
 func (w *world) hangs(id string) bool { return w.now < w.hungUntil[id] }
 
+// tendLease ends a worker's session with all its tasks once its lease is over.
+func (w *world) tendLease(f *fakeWorker) {
+	if w.now-f.leased > w.lease() {
+		f.Session, f.Tasks, f.leased = f.Session+1, nil, w.now
+		clear(f.running)
+		clear(f.alone)
+	}
+}
+
 // holdReport lets a report arrive later than any answer is waited for, at any controller:
 // nobody has had one that is as new from that machine, unless it has reported again.
 func (w *world) holdReport(b Beat) {
@@ -119,6 +128,7 @@
 
 // allAway ends all controllers and lets them be back after a while.
 func (w *world) allAway(d time.Duration) {
+	w.forgotten = true
 	for _, n := range w.names {
 		if w.cores[n] != nil {
 			w.crash(n)
