--- a/internal/core/aside.go
+++ b/internal/core/aside.go
@@ -282,7 +282,7 @@
 		}
 	}
 	slices.SortFunc(old, func(a, b *job.Job) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(c.turnAt(a), c.turnAt(b)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(c.holdsFrom(a), c.holdsFrom(b)), cmp.Compare(a.ID, b.ID))
 	})
 	for _, j := range old {
 		placement.Hold(&j.Spec, j.Waiting(), hosts)
@@ -291,14 +291,17 @@
 
 // holdsFrom is the time of day, in milliseconds, from which a gang gathers hosts. While
 // one of eight gathers them several small ones wait that could have run, so it waits for
-// longer than they do: as the square of its size, up to holdAfter time-outs.
+// longer than they do: as the square of its size, up to holdMost time-outs. Where there was
+// more work than room for minutes four were too many: less than half of the largest gangs
+// began within four minutes. By age alone all waited longer.
 func (c *Core) holdsFrom(j *job.Job) int64 {
 	n := float64(j.Tasks)
-	return j.Accepted + int64(c.policy.TimeoutS*1000*min((n*n-1)/holdSquare, holdAfter))
+	return j.Accepted + int64(c.policy.TimeoutS*1000*min((n*n-1)/holdSquare, holdMost))
 }
 
-// A gang of four waits for about one time-out, one of eight or more for holdAfter.
+// A gang of four waits for about one time-out, one of eight or more for holdMost.
 const (
 	holdSquare = 16
+	holdMost   = 3
 	holdAfter  = 4
 )
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -322,13 +322,12 @@
 
 // turnAt orders jobs of a priority: by when they would have to start, and gangs
 // without a deadline by when they begin to gather hosts. What has waited for holdAfter
-// time-outs and has nothing yet comes first, the oldest before all, until it has something:
-// behind wide arrays small ones began after up to six minutes, and where there was more
-// work than room half of the largest gangs came after smaller ones that were younger.
+// time-outs and has nothing yet comes first, until it has something: behind wide arrays
+// small ones began after up to six minutes.
 func (c *Core) turnAt(j *job.Job) int64 {
 	switch {
 	case len(j.Bound)+j.Done.Len() == 0 && float64(c.now.Wall-j.Accepted) > holdAfter*c.policy.TimeoutS*1000:
-		return j.Accepted - math.MaxInt64/2
+		return 0
 	case j.Kind == job.Gang && j.DeadlineS == 0:
 		return c.holdsFrom(j)
 	}
