--- a/internal/core/cancelnow_test.go
+++ b/internal/core/cancelnow_test.go
@@ -125,11 +125,11 @@
 				body := []byte(submission(id, "free", tasks, more))
 				var cancel Answer
 				reqs := map[uint64]string{}
-				for what, make1 := range map[string]func(req uint64) Command{
+				for what, make1 := range ordered(map[string]func(req uint64) Command{
 					"cancel": func(req uint64) Command { return Cancel{Req: req, ID: id} },
 					"ask":    func(req uint64) Command { return Status{Req: req, ID: id} },
 					"repeat": func(req uint64) Command { return Submit{Req: req, Body: body} },
-				} {
+				}) {
 					w.nextReq++
 					reqs[w.nextReq] = what
 					w.send(node, make1(w.nextReq))
--- a/internal/core/day_test.go
+++ b/internal/core/day_test.go
@@ -130,21 +130,8 @@
 		}
 	},
 	"all end and one is back": func(w *day, node, _ string) {
-		w.forgotten = true
-		for _, n := range w.names {
-			if w.cores[n] != nil {
-				w.crash(n)
-				w.expire(n)
-			}
-		}
+		w.allAway(8 * time.Second)
 		w.boot(node)
-		w.after(8*time.Second, func() {
-			for _, n := range w.names {
-				if w.cores[n] == nil {
-					w.boot(n)
-				}
-			}
-		})
 	},
 	"handed over and back": func(w *day, node, _ string) {
 		if w.sound(node) {
@@ -443,11 +430,11 @@
 			d.request(func(req uint64) Command { return Cancel{Req: req, ID: id} }, d.learner(id))
 		}
 	}
-	for more, want := range map[string]int{
+	for more, want := range ordered(map[string]int{
 		`,"bundle":null`: http.StatusBadRequest,
 		`,"vcpus":64.0`:  http.StatusUnprocessableEntity,
 		`,"shape":"group","yard":"z1","spread":true`: http.StatusUnprocessableEntity,
-	} {
+	}) {
 		body := submission(fmt.Sprintf("req-free-odd-%d", d.rng.Uint64()), "free", 4, more)
 		d.request(func(req uint64) Command { return Submit{Req: req, Body: []byte(body)} }, func(a Answer) {
 			if a.Status != want && a.Status != http.StatusServiceUnavailable {
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -219,12 +219,12 @@
 			delete(f.alone, key)
 		case !misses:
 			f.alone[key] = w.now
-		case w.now-since > seconds(p.GangPeerS) && w.wasWhole(id, t.Attempt) || w.now-since > seconds(p.GangWaitS):
+		case w.now-since > seconds(p.GangPeerS) && w.whole[taskAttempt{id, t.Attempt}] || w.now-since > seconds(p.GangWaitS):
 			f.Tasks[i].State, f.Tasks[i].Why = protocol.Exited, "mates_gone"
 			changed = true
 		}
 		if there == s.Tasks {
-			w.whole[key.attemptOf(id)] = true
+			w.whole[taskAttempt{id, t.Attempt}] = true
 		}
 	}
 	return changed
@@ -242,11 +242,6 @@
 	}
 }
 
-// attemptOf names an attempt of a job.
-func (k taskAttempt) attemptOf(id string) taskAttempt { return taskAttempt{id, k.attempt} }
-
-func (w *world) wasWhole(id string, attempt uint64) bool { return w.whole[taskAttempt{id, attempt}] }
-
 // ofAttempt counts the tasks of an attempt that are on machines, and tells whether one has
 // completed.
 func (w *world) ofAttempt(id string, attempt uint64) (there int, done bool) {
