Keep what is written within limits of the state service that are to come

Cause: the settings may hold limits that come into force at a moment nobody tells. Controllers then repeated transactions that the service calls malformed, and stored no start or end any more. Change: all that is written fits the present limits and those to come. A job's head tells its chunk size once every controller has stated this version by a key of its own; a job in larger chunks is split when it is next written, and its former keys are read for what has not moved. The rate of changes stays until the service shows the lower one.

--- a/internal/core/apart.go
+++ b/internal/core/apart.go
@@ -39,7 +39,7 @@
 // boardInterval is the pause between two changes of a bulletin, about two pages
 // each time.
 func (c *Core) boardInterval() time.Duration {
-	return max(c.reportInterval()/5, seconds(2*float64(len(c.roster))/(boardPart*c.cfg.Params.State.WriteRPS)))
+	return max(c.reportInterval()/5, seconds(2*float64(len(c.roster))/(boardPart*c.writeRate())))
 }
 
 // misses tells whether a controller lives, by the store, and is not heard here.
@@ -139,7 +139,7 @@
 // of life, which changes each time, took all of them, no machine was ever told of, and a
 // renter gave hundreds back as silent (docs/incidents/pages.md).
 func (c *Core) pageSize() int {
-	return min(int(c.cfg.Params.State.ValueKB*1024)*7/8, protocol.MaxBody*3/4/pagesAtOnce)
+	return min(int(c.limits().ValueKB*1024)*7/8, protocol.MaxBody*3/4/pagesAtOnce)
 }
 
 // pagesAtOnce is how many pages fit into a transaction whatever a value may have.
@@ -147,7 +147,7 @@
 
 // pagesPerTxn keeps a transaction of pages within the limits on changes and size.
 func (c *Core) pagesPerTxn() int {
-	return max(2, min(c.cfg.Params.State.TxnOps, protocol.MaxBody*3/4/c.pageSize()))
+	return max(2, min(c.limits().TxnOps, protocol.MaxBody*3/4/c.pageSize()))
 }
 
 // boardBeat is this node's sign of life for a bulletin; its number makes each unlike
--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -84,12 +84,9 @@
 
 // asksRate is this node's number of checks a second.
 func (c *Core) asksRate() float64 {
-	return max(1, asksPart*c.cfg.Params.State.RPS/float64(len(c.roster)))
+	return max(1, asksPart*c.limits().RPS/float64(len(c.roster)))
 }
 
-// maxConditions is how many conditions a transaction may have.
-func (c *Core) maxConditions() int { return 4 * c.cfg.Params.State.TxnOps }
-
 // askStore sends the checks that are due, the longest waiting questions first.
 func (c *Core) askStore() {
 	a := &c.asks
--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -45,7 +45,7 @@
 // should be stored within a second, rank by rank as far as the changes go; what
 // is left over is for all homes alike, so that each can store a start at once.
 func (c *Core) part() float64 {
-	left := c.cfg.Params.State.WriteRPS * jobsPart
+	left := c.writeRate() * jobsPart
 	homes := float64(len(c.roster))
 	least := left / 4 / homes
 	all := c.budget.due
@@ -143,7 +143,7 @@
 // gatherTime is how long the finished tasks of a job gather: the more jobs there
 // are the longer.
 func (c *Core) gatherTime() time.Duration {
-	return seconds(float64(len(c.jobs)) / (c.cfg.Params.State.WriteRPS * jobsPart * endsPart))
+	return seconds(float64(len(c.jobs)) / (c.writeRate() * jobsPart * endsPart))
 }
 
 // flushDue lets a job's finished tasks gather for a while. Until they are
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 
 	"pepperlever/internal/core/fairness"
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/rollout"
 	"pepperlever/internal/core/tally"
 	"pepperlever/internal/core/worker"
 	"pepperlever/internal/gateway"
@@ -47,7 +48,7 @@
 	teamBy  map[string]*team
 	fleet   *team
 	jobs    map[string]*job.Job
-	orphans map[string]map[int]protocol.KeyValue
+	orphans map[string]map[job.ChunkKey]protocol.KeyValue
 	marks   map[string]mark
 	intents map[string]*intent
 	finals  map[string]protocol.JobState
@@ -60,7 +61,8 @@
 	wordOrder []string
 	untold    map[string]*word
 	// goneAt holds the revisions that ended jobs.
-	goneAt map[string]uint64
+	goneAt  map[string]uint64
+	upgrade upgrade
 	// sites mirrors the hand-offs to and from other sites.
 	sites siteRecords
 
@@ -131,7 +133,7 @@
 		cfg: cfg, policy: policy, inc: inc,
 		waits: map[uint64]wait{}, nodes: map[string]nodeKey{},
 		teamBy: map[string]*team{}, jobs: map[string]*job.Job{},
-		orphans: map[string]map[int]protocol.KeyValue{}, marks: map[string]mark{},
+		orphans: map[string]map[job.ChunkKey]protocol.KeyValue{}, marks: map[string]mark{},
 		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, withdrawn: map[string]int64{}, words: map[string]*word{}, untold: map[string]*word{}, goneAt: map[string]uint64{},
 		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{}, decided: map[string]*decisions{}, zoneSeen: map[string]time.Duration{},
 		peers: map[string]*peerState{}, storeOK: true,
@@ -147,6 +149,7 @@
 	}
 	c.roster = append(slices.Collect(maps.Keys(c.peers)), cfg.Node)
 	slices.Sort(c.roster)
+	c.upgrade = upgrade{versions: rollout.New(c.roster), revisions: map[string]uint64{}}
 	return c
 }
 
@@ -203,6 +206,8 @@
 		c.leaseDown()
 	case StoreHealth:
 		c.storeOK = m.OK
+	case StoreSlower:
+		c.storeSlower()
 	case PeerIn:
 		c.peerIn(m)
 	case PeerUp:
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -50,7 +50,7 @@
 }
 
 // limit sets what follows from the state service's limits.
-func (g *gate) limit(c *Core) { g.cfg.Drops = c.cfg.Params.State.TxnOps - 1 }
+func (g *gate) limit(c *Core) { g.cfg.Drops = c.limits().TxnOps - 1 }
 
 // open starts the machine, as this node has become its home: the mirror holds all
 // that an earlier one has stored.
@@ -174,9 +174,6 @@
 	return c.neverRuns(c.teamBy[s.Team], s)
 }
 
-// specBytes is how long a stored description may be.
-func (c *Core) specBytes() int { return int(c.cfg.Params.State.ValueKB*1024) / 4 }
-
 // elsewhere tells whether a job that can never run here may go to a site that has
 // what it asks for.
 func (c *Core) elsewhere(s *job.Spec) bool {
--- a/internal/core/gatestore.go
+++ b/internal/core/gatestore.go
@@ -181,7 +181,7 @@
 	}
 	s.ID, s.Accepted = k.Local, c.now.Wall
 	txn.If = append(txn.If, protocol.Condition{Key: activeKey(s.ID)}, protocol.Condition{Key: keyState + s.ID})
-	txn.Then = append(txn.Then, protocol.Change{Put: activeKey(s.ID), Value: json.RawMessage(job.New(*s, c.chunkSize(), c.now.Steady).Head())})
+	txn.Then = append(txn.Then, protocol.Change{Put: activeKey(s.ID), Value: json.RawMessage(c.newJob(*s).Head())})
 	return txn, true
 }
 
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -20,7 +20,7 @@
 		if !k.Gone || c.bound(id) || c.now.Steady-k.since < keepGone*seconds(c.cfg.Params.Workers.LeaseS) {
 			continue
 		}
-		if txn.Then = append(txn.Then, protocol.Change{Delete: keyMark + id}); len(txn.Then) == c.cfg.Params.State.TxnOps {
+		if txn.Then = append(txn.Then, protocol.Change{Delete: keyMark + id}); len(txn.Then) == c.limits().TxnOps {
 			break
 		}
 	}
@@ -234,7 +234,7 @@
 	if !c.fleet.acting {
 		return
 	}
-	for batch := range slices.Chunk(m.Machines, c.cfg.Params.State.TxnOps) {
+	for batch := range slices.Chunk(m.Machines, c.limits().TxnOps) {
 		if !m.OK {
 			for _, id := range batch {
 				delete(c.rental.releasing, id)
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -60,6 +60,7 @@
 	if c.lease == 0 || !c.enrolled() || c.blind() {
 		return
 	}
+	c.stateVersion()
 	for i, t := range c.allTeams() {
 		preferred := c.preferred(i)
 		home, homeLives := c.nodes[t.home]
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -1,14 +1,9 @@
 package job
 
 import (
-	"fmt"
-	"maps"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/segmentio/encoding/json"
 )
 
 // Binding ties a task to a machine before any start is sent. It ends only on
@@ -50,10 +45,7 @@
 	// the store is known to hold. No higher one can have been started by a home
 	// that knows no more.
 	Attempt, StoredAttempt uint64
-	// ChunkSize is the number of tasks stored under one key.
-	ChunkSize int
-	// dirty names the chunks whose stored form is out of date.
-	dirty map[int]bool
+	layout
 
 	// InFlight is set while a transaction on the job is not answered.
 	InFlight bool
@@ -87,7 +79,6 @@
 	Running   int
 	CountedAt time.Duration
 	low       int
-	stored    map[int]bool
 	ledger    *Ledger
 }
 
@@ -98,199 +89,16 @@
 	Attempt uint64
 }
 
-// New makes a job of a Spec.
-func New(s Spec, chunkSize int, now time.Duration) *Job {
-	return &Job{Spec: s, Bound: map[int]*Binding{}, ChunkSize: chunkSize, dirty: map[int]bool{}, WaitingSince: now}
-}
-
-// record is the stored form of the head, chunk that of each further chunk.
-type record struct {
-	Spec     *Spec  `json:"s"`
-	Nonce    string `json:"w,omitempty"`
-	Attempt  uint64 `json:"n"`
-	Finished string `json:"f,omitempty"`
-	Suspect  bool   `json:"x,omitempty"`
-	First    *chunk `json:"c"`
-}
-
-type chunk struct {
-	Done     string      `json:"d,omitempty"`
-	Machines []string    `json:"m,omitempty"`
-	Bound    [][5]uint64 `json:"b,omitempty"`
-}
-
-func (j *Job) chunks() int { return (j.Tasks + j.ChunkSize - 1) / j.ChunkSize }
-
-func (j *Job) bounds(c int) (lo, hi int) {
-	return c * j.ChunkSize, min(j.Tasks, (c+1)*j.ChunkSize)
-}
-
-func (j *Job) chunkDone(c int) bool {
-	lo, hi := j.bounds(c)
-	for i := lo; i < hi; i++ {
-		if !j.Done.Has(i) {
-			return false
-		}
-	}
-	return true
+// NewSized makes a job of a Spec whose head will tell its chunk size.
+func NewSized(s Spec, chunkSize int, now time.Duration) *Job {
+	j := New(s, chunkSize, now)
+	j.sized = true
+	return j
 }
 
-// Head is the stored form of the job's head.
-func (j *Job) Head() json.RawMessage {
-	var finished Set
-	for c := 1; c < j.chunks(); c++ {
-		if j.chunkDone(c) {
-			finished.Add(c)
-		}
-	}
-	raw, err := json.Marshal(record{Spec: &j.Spec, Nonce: j.Nonce, Attempt: j.Attempt,
-		Finished: finished.Format(0, j.chunks()), Suspect: j.Suspected, First: j.chunk(0)})
-	if err != nil {
-		panic(err) // plain data always has a JSON form
-	}
-	return raw
-}
-
-func (j *Job) chunk(c int) *chunk {
-	lo, hi := j.bounds(c)
-	out := &chunk{Done: j.Done.Format(lo, hi)}
-	index := map[string]int{}
-	for _, i := range slices.Sorted(maps.Keys(j.Bound)) {
-		if i < lo || i >= hi {
-			continue
-		}
-		b := j.Bound[i]
-		m, ok := index[b.Machine]
-		if !ok {
-			m = len(out.Machines)
-			index[b.Machine] = m
-			out.Machines = append(out.Machines, b.Machine)
-		}
-		out.Bound = append(out.Bound, [5]uint64{uint64(i - lo), uint64(m), b.Attempt, b.Term, b.Session})
-	}
-	return out
-}
-
-// ChunkWrite is a write of one further chunk; a nil Value deletes it.
-type ChunkWrite struct {
-	Chunk int
-	Value json.RawMessage
-}
-
-// TakeDirty returns the writes of at most limit changed chunks besides the
-// head, and whether more are left.
-func (j *Job) TakeDirty(limit int) (out []ChunkWrite, more bool) {
-	for _, c := range slices.Sorted(maps.Keys(j.dirty)) {
-		if c > 0 && len(out) == limit {
-			return out, true
-		}
-		delete(j.dirty, c)
-		if c == 0 {
-			continue
-		}
-		w := ChunkWrite{Chunk: c}
-		if j.unused(c) {
-			delete(j.stored, c)
-		} else {
-			j.MarkStored(c)
-			raw, err := json.Marshal(j.chunk(c))
-			if err != nil {
-				panic(err) // plain data always has a JSON form
-			}
-			w.Value = raw
-		}
-		out = append(out, w)
-	}
-	return out, false
-}
-
-// Dirty tells whether something waits to be stored.
-func (j *Job) Dirty() bool { return len(j.dirty) > 0 }
-
-// DirtyChunks counts the keys that wait to be stored.
-func (j *Job) DirtyChunks() int { return len(j.dirty) }
-
-// DirtyAt tells whether task i waits to be stored.
-func (j *Job) DirtyAt(i int) bool { return j.dirty[i/j.ChunkSize] }
-
-// Touch marks task i as changed.
-func (j *Job) Touch(i int) { j.dirty[i/j.ChunkSize] = true }
-
-// Retouch marks chunks as changed again after a write that did not happen.
-func (j *Job) Retouch(writes []ChunkWrite) {
-	j.dirty[0] = true
-	for _, w := range writes {
-		j.dirty[w.Chunk] = true
-	}
-}
-
-// LoadHead reads the stored head.
-func (j *Job) LoadHead(raw json.RawMessage) error {
-	var r record
-	if err := json.Unmarshal(raw, &r); err != nil {
-		return err
-	}
-	if r.Spec == nil || r.First == nil || r.Spec.Tasks < 1 || r.Spec.Tasks > MaxTasks {
-		return fmt.Errorf("job %s: stored head is incomplete", j.ID)
-	}
-	id := j.ID
-	j.Spec = *r.Spec
-	j.ID = id
-	j.Nonce, j.Attempt, j.Suspected = r.Nonce, r.Attempt, r.Suspect
-	j.StoredAttempt = r.Attempt
-	var finished Set
-	if err := finished.Parse(r.Finished, 0, j.chunks()); err != nil {
-		return err
-	}
-	for c := 1; c < j.chunks(); c++ {
-		if finished.Has(c) {
-			lo, hi := j.bounds(c)
-			for i := lo; i < hi; i++ {
-				j.finish(i)
-			}
-		}
-	}
-	return j.load(0, r.First)
-}
-
-// LoadChunk reads a further stored chunk.
-func (j *Job) LoadChunk(c int, raw json.RawMessage) error {
-	if c < 1 || c >= j.chunks() {
-		return fmt.Errorf("job %s has no chunk %d", j.ID, c)
-	}
-	j.MarkStored(c)
-	var ch chunk
-	if err := json.Unmarshal(raw, &ch); err != nil {
-		return err
-	}
-	return j.load(c, &ch)
-}
-
-func (j *Job) load(c int, ch *chunk) error {
-	lo, hi := j.bounds(c)
-	if err := j.Done.Parse(ch.Done, lo, hi); err != nil {
-		return err
-	}
-	kept := map[int]bool{}
-	for _, b := range ch.Bound {
-		i := lo + int(b[0])
-		if i >= hi || int(b[1]) >= len(ch.Machines) {
-			return fmt.Errorf("job %s: stored binding is out of bounds", j.ID)
-		}
-		kept[i] = true
-		n := &Binding{Machine: ch.Machines[b[1]], Attempt: b[2], Term: b[3], Session: b[4], Stored: true}
-		if old := j.Bound[i]; old != nil && old.Attempt == n.Attempt && old.Machine == n.Machine {
-			old.Stored, old.Term, old.Session = true, n.Term, n.Session
-			continue
-		}
-		j.set(i, n)
-	}
-	for i := range j.Bound {
-		if i >= lo && i < hi && !kept[i] {
-			j.clear(i)
-		}
-	}
-	return nil
+// New makes a job of a Spec.
+func New(s Spec, chunkSize int, now time.Duration) *Job {
+	return &Job{Spec: s, Bound: map[int]*Binding{}, layout: newLayout(chunkSize), WaitingSince: now}
 }
 
 func (j *Job) finish(i int) {
--- a/internal/core/job/job_test.go
+++ b/internal/core/job/job_test.go
@@ -61,12 +61,12 @@
 	}
 	for _, w := range writes {
 		if w.Value == nil {
-			if w.Chunk != 1 {
-				t.Errorf("chunk %d is deleted", w.Chunk)
+			if w.Key.Index != 1 {
+				t.Errorf("chunk %s is deleted", w.Key)
 			}
 			continue
 		}
-		if err := back.LoadChunk(w.Chunk, w.Value); err != nil {
+		if err := back.LoadChunk(w.Key, w.Value); err != nil {
 			t.Fatal(err)
 		}
 	}
--- /dev/null
+++ b/internal/core/job/layout.go
@@ -0,0 +1,249 @@
+package job
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/segmentio/encoding/json"
+)
+
+// ChunkKey names a stored chunk of a job besides the first, which is in the head.
+type ChunkKey struct {
+	// Size is how many tasks the chunk holds. It is 0 for a chunk stored before heads
+	// told the size: that one follows from the settings.
+	Size int
+	// Index is the chunk's position among those of its size.
+	Index int
+}
+
+// chunkSizeMark parts the size of a chunk from its index in the name of its key. Programs
+// from before it don't take such a name for a chunk.
+const chunkSizeMark = "x"
+
+// String is the key's last part.
+func (k ChunkKey) String() string {
+	if k.Size == 0 {
+		return strconv.Itoa(k.Index)
+	}
+	return strconv.Itoa(k.Size) + chunkSizeMark + strconv.Itoa(k.Index)
+}
+
+// ParseChunkKey reads what String wrote.
+func ParseChunkKey(text string) (k ChunkKey, ok bool) {
+	size, index, sized := strings.Cut(text, chunkSizeMark)
+	if !sized {
+		index = text
+	} else if n, err := strconv.Atoi(size); err != nil || n < 1 {
+		return ChunkKey{}, false
+	} else {
+		k.Size = n
+	}
+	n, err := strconv.Atoi(index)
+	k.Index = n
+	return k, err == nil && n > 0
+}
+
+// layout is how a job's tasks are divided over keys of the state service.
+type layout struct {
+	// ChunkSize is the number of tasks stored under one key.
+	ChunkSize int
+	// sized tells that the head states ChunkSize.
+	sized bool
+	// former is the chunk size from before the job was split, 0 if it never was. moved
+	// holds the chunks that are no longer read from keys of that size.
+	former int
+	moved  Set
+	// stored holds the keys that exist, dirty the chunks whose stored form is out of date.
+	stored map[ChunkKey]bool
+	dirty  map[int]bool
+}
+
+func newLayout(chunkSize int) layout {
+	return layout{ChunkSize: chunkSize, stored: map[ChunkKey]bool{}, dirty: map[int]bool{}}
+}
+
+// key names chunk c as it is written now.
+func (l *layout) key(c int) ChunkKey {
+	if l.sized {
+		return ChunkKey{Size: l.ChunkSize, Index: c}
+	}
+	return ChunkKey{Index: c}
+}
+
+// formerSize is the number of tasks under a key whose name does not tell it.
+func (l *layout) formerSize() int {
+	if l.former > 0 {
+		return l.former
+	}
+	return l.ChunkSize
+}
+
+// splitSize is the largest chunk size up to most into which the present chunks divide.
+func (j *Job) splitSize(most int) int {
+	for size := min(most, j.ChunkSize); size > 1; size-- {
+		if j.ChunkSize%size == 0 {
+			return size
+		}
+	}
+	return 1
+}
+
+// Split divides the job's chunks into smaller ones of at most size tasks, if what leaves
+// the head by that fits into writes keys; it reports whether the chunks are that small.
+// Chunks that have keys of their own already stay there until they change.
+func (j *Job) Split(size, writes int) bool {
+	if j.ChunkSize <= size {
+		return true
+	}
+	if j.former > 0 {
+		return false // two former sizes are not told apart
+	}
+	size = j.splitSize(size)
+	parts := j.ChunkSize / size
+	if j.keysWithin(size, parts) > writes {
+		return false
+	}
+	changed := map[int]bool{}
+	for c := range j.dirty {
+		for part := c * parts; part < (c+1)*parts; part++ {
+			changed[part] = true
+		}
+	}
+	for part := range parts {
+		changed[part] = true
+	}
+	j.former, j.ChunkSize, j.sized, j.dirty = j.ChunkSize, size, true, changed
+	return true
+}
+
+// keysWithin counts the chunks of size that leave the head and need keys.
+func (j *Job) keysWithin(size, parts int) (n int) {
+	for part := 1; part < parts; part++ {
+		if j.needsKey(part*size, min(j.Tasks, (part+1)*size)) {
+			n++
+		}
+	}
+	return n
+}
+
+// ChunkWrite is a write of one further chunk; a nil Value deletes it.
+type ChunkWrite struct {
+	Key   ChunkKey
+	Value json.RawMessage
+	// moves is set where it is the first under its own key since the job was split.
+	moves bool
+}
+
+// TakeDirty returns the writes of at most limit changed chunks besides the
+// head, and whether more are left.
+func (j *Job) TakeDirty(limit int) (out []ChunkWrite, more bool) {
+	for _, c := range slices.Sorted(maps.Keys(j.dirty)) {
+		w, writes := j.chunkWrite(c)
+		if writes && len(out) == limit {
+			return out, true
+		}
+		delete(j.dirty, c)
+		if writes {
+			out = append(out, w)
+		}
+		j.noteWrite(c, w)
+	}
+	for _, k := range j.superseded() {
+		if len(out) == limit {
+			j.dirty[0] = true
+			return out, true
+		}
+		delete(j.stored, k)
+		out = append(out, ChunkWrite{Key: k})
+	}
+	return out, false
+}
+
+// chunkWrite is the write of a changed chunk, if it takes any besides the head.
+func (j *Job) chunkWrite(c int) (w ChunkWrite, writes bool) {
+	if c == 0 {
+		return ChunkWrite{}, false
+	}
+	w = ChunkWrite{Key: j.key(c), moves: j.former > 0 && !j.moved.Has(c)}
+	if !j.needsKey(j.bounds(c)) {
+		return w, j.stored[w.Key] || !j.sized
+	}
+	raw, err := json.Marshal(j.chunk(c))
+	if err != nil {
+		panic(err) // plain data always has a JSON form
+	}
+	w.Value = raw
+	return w, true
+}
+
+// noteWrite notes that a chunk is about to be stored under its own key, or in the head.
+func (j *Job) noteWrite(c int, w ChunkWrite) {
+	if j.former > 0 {
+		j.moved.Add(c)
+	}
+	switch {
+	case c == 0:
+	case w.Value == nil:
+		delete(j.stored, w.Key)
+	default:
+		j.stored[w.Key] = true
+	}
+}
+
+// superseded lists the keys of the former size of which nothing is read any more.
+func (j *Job) superseded() (out []ChunkKey) {
+	if j.former == 0 {
+		return nil
+	}
+	for k := range j.stored {
+		if k.Size == 0 && j.supersedes(k) {
+			out = append(out, k)
+		}
+	}
+	slices.SortFunc(out, func(a, b ChunkKey) int { return a.Index - b.Index })
+	return out
+}
+
+func (j *Job) supersedes(k ChunkKey) bool {
+	parts := j.former / j.ChunkSize
+	for c := k.Index * parts; c < min(j.chunks(), (k.Index+1)*parts); c++ {
+		if !j.moved.Has(c) && j.needsKey(j.bounds(c)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Retouch marks chunks as changed again after a write that did not happen.
+func (j *Job) Retouch(writes []ChunkWrite) {
+	j.dirty[0] = true
+	for _, w := range writes {
+		if w.Value == nil {
+			j.stored[w.Key] = true // perhaps: it was not deleted
+		}
+		if w.Key.Size == 0 && j.sized {
+			continue // of the former size; superseded lists it again
+		}
+		j.dirty[w.Key.Index] = true
+		if w.moves {
+			j.moved.Remove(w.Key.Index)
+		}
+	}
+}
+
+// MarkStored notes that a chunk has a key of its own in the store.
+func (j *Job) MarkStored(k ChunkKey) { j.stored[k] = true }
+
+// Dirty tells whether something waits to be stored.
+func (j *Job) Dirty() bool { return len(j.dirty) > 0 }
+
+// DirtyChunks counts the keys that wait to be stored.
+func (j *Job) DirtyChunks() int { return len(j.dirty) }
+
+// DirtyAt tells whether task i waits to be stored.
+func (j *Job) DirtyAt(i int) bool { return j.dirty[i/j.ChunkSize] }
+
+// Touch marks task i as changed.
+func (j *Job) Touch(i int) { j.dirty[i/j.ChunkSize] = true }
--- a/internal/core/job/ranges.go
+++ b/internal/core/job/ranges.go
@@ -29,6 +29,14 @@
 	}
 }
 
+// Remove takes i out of the set.
+func (s *Set) Remove(i int) {
+	if s.Has(i) {
+		s.words[i/64] &^= 1 << (i % 64)
+		s.count--
+	}
+}
+
 // Len is the number of members.
 func (s *Set) Len() int { return s.count }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -33,10 +33,15 @@
 	u := &update{team: t, job: j, nonce: fmt.Sprintf("%s.%d", c.inc, c.nextID), attempt: j.Attempt}
 	j.Nonce = u.nonce
 	u.txn.If = []protocol.Condition{t.held(), {Key: activeKey(j.ID), Version: j.Version}}
+	c.splitChunks(j)
+	others := headChanges
+	if j.Complete() || j.Cancelled {
+		others = endChanges
+	}
 	more := false
-	u.writes, more = j.TakeDirty(c.chunksPerTxn())
+	u.writes, more = j.TakeDirty(c.chunksPerTxn(others))
 	for _, w := range u.writes {
-		key := chunkKey(j.ID, w.Chunk)
+		key := chunkKey(j.ID, w.Key)
 		if w.Value == nil {
 			u.txn.Then = append(u.txn.Then, protocol.Change{Delete: key})
 		} else {
@@ -59,16 +64,6 @@
 	c.send(u)
 }
 
-// chunksPerTxn keeps a transaction within the limits on changes and size.
-func (c *Core) chunksPerTxn() int {
-	return max(1, min(c.cfg.Params.State.TxnOps-3, c.valuesPerTxn()-2))
-}
-
-// valuesPerTxn is how many values of the largest size fit into a transaction.
-func (c *Core) valuesPerTxn() int {
-	return int(float64(protocol.MaxBody) / 1024 * 3 / 4 / c.cfg.Params.State.ValueKB)
-}
-
 // closeUpdate adds the head, or its removal, and the conditions of bindings.
 func (c *Core) closeUpdate(u *update, more bool) {
 	j := u.job
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -2,13 +2,13 @@
 
 import (
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/segmentio/encoding/json"
 
 	"pepperlever/internal/core/fairness"
+	"pepperlever/internal/core/job"
 	"pepperlever/internal/protocol"
 )
 
@@ -26,6 +26,7 @@
 	keyRecord  = Root + "r/" // j/r/<team>: remembered use
 	keyBoard   = Root + "b/" // j/b/<node>/<page>: what a controller has to say to those that can't hear it
 	keyGate    = Root + "g"  // the home of the gateway to other sites; its records begin alike, see sites.go
+	keyVersion = Root + "p/" // j/p/<node>: the version of the program that a controller has, for good
 	keyState   = "u/"        // u/<job>: the final state of a job, for good
 	keyFleet   = Root + "f"  // the home of the renting of machines
 	fleetName  = "fleet"
@@ -108,18 +109,21 @@
 
 func activeKey(id string) string { return keyActive + id }
 
-func chunkKey(id string, chunk int) string { return activeKey(id) + "/" + strconv.Itoa(chunk) }
+func chunkKey(id string, chunk job.ChunkKey) string { return activeKey(id) + "/" + chunk.String() }
 
 func cancelKey(id string) string { return keyCancel + id }
 
-// splitActive takes the key of a job or of a chunk apart; chunk 0 is the head.
-func splitActive(key string) (id string, chunk int, ok bool) {
+// firstChunk is the chunk of a job that is in its head.
+var firstChunk = job.ChunkKey{}
+
+// splitActive takes the key of a job or of a chunk apart.
+func splitActive(key string) (id string, chunk job.ChunkKey, ok bool) {
 	id, part, further := strings.Cut(strings.TrimPrefix(key, keyActive), "/")
 	if !further {
-		return id, 0, true
+		return id, firstChunk, true
 	}
-	chunk, err := strconv.Atoi(part)
-	return id, chunk, err == nil && chunk > 0
+	chunk, ok = job.ParseChunkKey(part)
+	return id, chunk, ok
 }
 
 // recordTxn stores a team's record while this node is its home.
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -97,6 +97,9 @@
 	LeaseDown struct{}
 	// StoreHealth tells whether the state service answers this node.
 	StoreHealth struct{ OK bool }
+	// StoreSlower tells that the state service takes fewer changes than its limit of
+	// before the upgrade.
+	StoreSlower struct{}
 )
 
 // Commands from other controllers, workers and the cloud.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -124,6 +124,8 @@
 		if err = json.Unmarshal(item.Value, i); err == nil {
 			c.intentWritten(strings.TrimPrefix(key, keyIntent), i, item.Version)
 		}
+	case strings.HasPrefix(key, keyVersion):
+		err = c.versionWritten(item)
 	case strings.HasPrefix(key, keyRecord):
 		var r recordKey
 		var name string
@@ -144,7 +146,7 @@
 	switch {
 	case strings.HasPrefix(key, keyActive):
 		id, chunk, ok := splitActive(key)
-		if j := c.jobs[id]; ok && chunk == 0 && j != nil && j.Version < revision && (!c.mine(j) || c.away(id)) {
+		if j := c.jobs[id]; ok && chunk == firstChunk && j != nil && j.Version < revision && (!c.mine(j) || c.away(id)) {
 			c.forgetJob(j)
 		}
 	case strings.HasPrefix(key, keyCancel):
@@ -176,10 +178,6 @@
 	return t != nil && t.acting
 }
 
-func (c *Core) chunkSize() int {
-	return max(1, int(c.cfg.Params.State.ValueKB*1024)/64)
-}
-
 // jobWritten takes over what another controller, or an earlier home, stored of
 // a job.
 func (c *Core) jobWritten(item protocol.KeyValue) error {
@@ -188,7 +186,7 @@
 		return nil
 	}
 	j := c.jobs[id]
-	if chunk > 0 {
+	if chunk != firstChunk {
 		return c.chunkWritten(j, id, chunk, item)
 	}
 	if j != nil && (c.mine(j) || j.Version >= item.Version) {
@@ -231,13 +229,13 @@
 	return nil
 }
 
-func (c *Core) chunkWritten(j *job.Job, id string, chunk int, item protocol.KeyValue) error {
+func (c *Core) chunkWritten(j *job.Job, id string, chunk job.ChunkKey, item protocol.KeyValue) error {
 	switch {
 	case j == nil:
 		// Pages and events come ordered by key or revision; keep the chunk
 		// until its head is here.
 		if c.orphans[id] == nil {
-			c.orphans[id] = map[int]protocol.KeyValue{}
+			c.orphans[id] = map[job.ChunkKey]protocol.KeyValue{}
 		}
 		c.orphans[id][chunk] = item
 		return nil
@@ -272,7 +270,7 @@
 		return
 	}
 	id, chunk, ok := splitActive(key)
-	if !ok || chunk > 0 {
+	if !ok || chunk != firstChunk {
 		return
 	}
 	if j := c.jobs[id]; j != nil && !j.Cancelled && j.Version < revision {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -83,7 +83,7 @@
 
 func (c *Core) accept(req uint64, t *team, s *job.Spec) {
 	s.Accepted = c.now.Wall
-	head := job.New(*s, c.chunkSize(), c.now.Steady).Head()
+	head := c.newJob(*s).Head()
 	active := activeKey(s.ID)
 	c.userTxn(protocol.Txn{
 		If:   []protocol.Condition{{Key: keyState + s.ID}, {Key: active}},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,40 @@
 	Address string `toml:"address"`
 }
 
+// StateLimits are limits of the state service: requests and changes a second, the size of
+// a value and the changes of one transaction.
+type StateLimits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// State holds the present limits of the state service, and those that come into force at
+// some moment after an upgrade. What Next leaves out stays as it is.
+type State struct {
+	StateLimits
+	Next StateLimits `toml:"next"`
+}
+
+// Tightest are limits that hold before and after the change.
+func (s State) Tightest() StateLimits {
+	out := s.StateLimits
+	out.RPS = tighter(out.RPS, s.Next.RPS)
+	out.WriteRPS = tighter(out.WriteRPS, s.Next.WriteRPS)
+	out.ValueKB = tighter(out.ValueKB, s.Next.ValueKB)
+	out.TxnOps = tighter(out.TxnOps, s.Next.TxnOps)
+	return out
+}
+
+// tighter is the smaller of a limit and the one to come, which may be missing.
+func tighter[T int | float64](now, next T) T {
+	if next > 0 && next < now {
+		return next
+	}
+	return now
+}
+
 // Settings is the file as a whole.
 type Settings struct {
 	Node       string `toml:"node"`
@@ -60,12 +94,7 @@
 			GangPeerS float64 `toml:"gang_peer_s"`
 			CancelS   float64 `toml:"cancel_s"`
 		} `toml:"workers"`
-		State struct {
-			RPS      float64 `toml:"rps"`
-			WriteRPS float64 `toml:"write_rps"`
-			ValueKB  float64 `toml:"value_kb"`
-			TxnOps   int     `toml:"txn_ops"`
-		} `toml:"state"`
+		State State `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
 			ListLagS float64 `toml:"list_lag_s"`
@@ -166,6 +195,9 @@
 			return fmt.Errorf("params.%s must be positive", f.name)
 		}
 	}
+	if n := p.State.Next; min(n.RPS, n.WriteRPS, n.ValueKB, float64(n.TxnOps)) < 0 {
+		return errors.New("params.state.next must not be negative")
+	}
 	if p.Workers.LeaseS <= p.Workers.ReportS {
 		return errors.New("params.workers.lease_s must exceed report_s")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -108,3 +108,23 @@
 		t.Errorf("without a script got %+v, %v", p, err)
 	}
 }
+
+// Limits to come may leave out what stays as it is; the tightest hold before and after.
+func TestLimitsToComeAreReadWithThePresentOnes(t *testing.T) {
+	s, err := Load(write(t, "s.toml", good+"[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 20\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	present := StateLimits{RPS: 100, WriteRPS: 10, ValueKB: 4, TxnOps: 8}
+	if s.Params.State.StateLimits != present {
+		t.Errorf("present limits are %+v", s.Params.State.StateLimits)
+	}
+	tightest := present
+	tightest.ValueKB = 2
+	if got := s.Params.State.Tightest(); got != tightest {
+		t.Errorf("tightest limits are %+v", got)
+	}
+	if _, err := Load(write(t, "s.toml", good+"[params.state.next]\nvalue_kb = -2.0\n")); err == nil || !strings.Contains(err.Error(), "state.next") {
+		t.Errorf("negative limit: %v", err)
+	}
+}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -29,13 +29,14 @@
 }
 
 // txn does a transaction.
-func (c *client) txn(t protocol.Txn) core.StoreReply {
+func (c *client) txn(t protocol.Txn) (core.StoreReply, refusal) {
 	var r protocol.TxnResult
 	if t.If == nil {
 		t.If = []protocol.Condition{}
 	}
 	status, err := c.call(fasthttp.MethodPost, protocol.PathTxn, t, &r)
 	out := core.StoreReply{Revision: r.Revision, Failed: r.Failed}
+	why := refusal{}
 	switch {
 	case errors.Is(err, httpc.ErrUnsent):
 		out.Outcome, out.Down = core.Refused, true
@@ -48,12 +49,25 @@
 	case status == fasthttp.StatusBadRequest && strings.Contains(r.Error, "lease"):
 		out.Outcome = core.NoLease
 	case status == fasthttp.StatusBadRequest:
-		slog.Error("state service calls a transaction malformed", "error", r.Error)
-		out.Outcome = core.Refused
+		slog.Error("state service calls a transaction malformed", "error", r.Error, "changes", len(t.Then), "conditions", len(t.If), "largest value", largestValue(t))
+		out.Outcome, why.oversized = core.Refused, true
 	default:
 		out.Outcome, out.Down = core.Refused, status == fasthttp.StatusServiceUnavailable
+		why.tooMany = status == fasthttp.StatusTooManyRequests
 	}
-	return out
+	return out, why
+}
+
+// refusal is why the state service refused a transaction: it had no room for so many
+// requests or changes, or the transaction was too large.
+type refusal struct{ tooMany, oversized bool }
+
+// largestValue is the length of the longest value that a transaction writes.
+func largestValue(t protocol.Txn) (n int) {
+	for _, ch := range t.Then {
+		n = max(n, len(ch.Value))
+	}
+	return n
 }
 
 // get reads one key.
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -42,18 +42,19 @@
 		status int
 		body   string
 		want   core.Outcome
+		why    refusal
 	}{
-		"applied":      {200, `{"ledgerTick":7}`, core.Applied},
-		"conflict":     {409, `{"failed":["k"],"ledgerTick":6}`, core.Conflict},
-		"lease ended":  {400, `{"error":"no such lease"}`, core.NoLease},
-		"malformed":    {400, `{"error":"bad key"}`, core.Refused},
-		"too many":     {429, ``, core.Refused},
-		"down":         {503, ``, core.Refused},
-		"hangs up":     {0, ``, core.Unknown},
-		"broken reply": {200, `{"ledgerTick":`, core.Unknown},
+		"applied":      {200, `{"ledgerTick":7}`, core.Applied, refusal{}},
+		"conflict":     {409, `{"failed":["k"],"ledgerTick":6}`, core.Conflict, refusal{}},
+		"lease ended":  {400, `{"error":"no such lease"}`, core.NoLease, refusal{}},
+		"malformed":    {400, `{"error":"bad key"}`, core.Refused, refusal{oversized: true}},
+		"too many":     {429, ``, core.Refused, refusal{tooMany: true}},
+		"down":         {503, ``, core.Refused, refusal{}},
+		"hangs up":     {0, ``, core.Unknown, refusal{}},
+		"broken reply": {200, `{"ledgerTick":`, core.Unknown, refusal{}},
 	} {
-		if got := standIn(t, c.status, c.body).txn(txn); got.Outcome != c.want {
-			t.Errorf("%s: got %d, want %d", name, got.Outcome, c.want)
+		if got, why := standIn(t, c.status, c.body).txn(txn); got.Outcome != c.want || why != c.why {
+			t.Errorf("%s: got %d for %v, want %d for %v", name, got.Outcome, why, c.want, c.why)
 		}
 	}
 }
@@ -65,7 +66,7 @@
 	}
 	addr := ln.Addr().String()
 	ln.Close()
-	if got := newClient(addr, patience).txn(protocol.Txn{}); got.Outcome != core.Refused {
+	if got, _ := newClient(addr, patience).txn(protocol.Txn{}); got.Outcome != core.Refused {
 		t.Errorf("got %d", got.Outcome)
 	}
 }
--- a/internal/store/limiter.go
+++ b/internal/store/limiter.go
@@ -26,6 +26,14 @@
 	return &limiter{requests: bucket{rate: rps * ownPart}, puts: bucket{rate: writes * ownPart}}
 }
 
+// setWrites changes the limit on changes.
+func (l *limiter) setWrites(writes float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.puts.rate = writes * ownPart
+	l.puts.level = min(l.puts.level, l.puts.rate)
+}
+
 func (b *bucket) fill(now time.Time) {
 	if b.at.IsZero() {
 		b.level = b.rate
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,7 +29,9 @@
 	reload chan struct{}
 	health health
 	limit  *limiter
-	lanes  [2]chan func()
+	// pressure notices limits that have become lower.
+	pressure pressure
+	lanes    [2]chan func()
 }
 
 // New makes a Store that tells emit what it learns.
@@ -39,6 +41,7 @@
 	s.watch = newClient(cfg.Services.State, 2*s.wait())
 	s.limit = newLimiter(cfg.Params.State.RPS, cfg.Params.State.WriteRPS)
 	s.health.emit = emit
+	s.pressure.window = s.report()
 	for i := range s.lanes {
 		s.lanes[i] = make(chan func(), 4096)
 	}
@@ -104,10 +107,25 @@
 // Txn queues a transaction; its reply goes to the core.
 func (s *Store) Txn(t core.StoreTxn) {
 	s.queue(t.Urgent || t.Quick, t.ID, func() core.StoreReply {
-		return s.try(t.Quick, len(t.Txn.Then), func() core.StoreReply { return s.quick.txn(t.Txn) })
+		return s.try(t.Quick, len(t.Txn.Then), func() core.StoreReply {
+			r, why := s.quick.txn(t.Txn)
+			s.notePressure(len(t.Txn.Then), why)
+			return r
+		})
 	})
 }
 
+// notePressure goes over to the limits that come into force at a moment nobody tells, as
+// soon as the state service shows that they have.
+func (s *Store) notePressure(changes int, why refusal) {
+	state := s.cfg.Params.State
+	if state.Tightest() == state.StateLimits || !s.pressure.note(time.Now(), changes, why.tooMany, why.oversized) {
+		return
+	}
+	s.limit.setWrites(state.Tightest().WriteRPS)
+	s.emit(core.StoreSlower{})
+}
+
 // Get queues a read.
 func (s *Store) Get(g core.StoreGet) {
 	s.queue(true, g.ID, func() core.StoreReply {
