Let jobs await others: nothing of one is bound before all of those are done

Change: a submission may name awaited jobs. A job waits until its home knows the final state of each; a cancelled one takes with it what awaits it, which every controller derives and the home stores. Answers on waiting jobs wait for the replica to reach the revision of their check. Awaited jobs have the priority and the latest start of what needs them. A package of its own holds the graph.

--- a/internal/core/aside.go
+++ b/internal/core/aside.go
@@ -282,7 +282,7 @@
 		}
 	}
 	slices.SortFunc(old, func(a, b *job.Job) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(c.holdsFrom(a), c.holdsFrom(b)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(c.holdsFrom(a), c.holdsFrom(b)), cmp.Compare(a.ID, b.ID))
 	})
 	for _, j := range old {
 		placement.Hold(&j.Spec, j.Waiting(), hosts)
@@ -296,7 +296,7 @@
 // began within four minutes. By age alone all waited longer.
 func (c *Core) holdsFrom(j *job.Job) int64 {
 	n := float64(j.Tasks)
-	return j.Accepted + int64(c.policy.TimeoutS*1000*min((n*n-1)/holdSquare, holdMost))
+	return j.Since() + int64(c.policy.TimeoutS*1000*min((n*n-1)/holdSquare, holdMost))
 }
 
 // A gang of four waits for about one time-out, one of eight or more for holdMost.
--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -51,7 +51,8 @@
 // while the user waits is turned away at once. Several questions on one job cost
 // no more than one.
 func (c *Core) inquire(id string, tell func(finding, protocol.JobState)) {
-	if s, ok := c.finals[id]; ok {
+	if c.hasEnded(id) {
+		s := c.finals[id]
 		if c.untold[id] == nil {
 			c.announceCancel(id) // known by the watch alone, perhaps
 		}
@@ -143,7 +144,7 @@
 	case r.Outcome == Applied && qs[0].exists && c.untoldAway(id):
 		tellAll(qs, untold, protocol.JobState{})
 	case r.Outcome == Applied && qs[0].exists:
-		tellAll(qs, active, c.display(id))
+		c.tellActive(id, qs, r.Revision)
 	case r.Outcome == Applied:
 		tellAll(qs, absent, protocol.JobState{})
 	case r.Outcome != Conflict || len(r.Failed) == 0:
--- /dev/null
+++ b/internal/core/awaits.go
@@ -0,0 +1,215 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"pepperlever/internal/core/chain"
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/protocol"
+)
+
+// awaits is what this controller knows of jobs that await others (docs/chains.md).
+type awaits struct {
+	graph *chain.Graph
+	// asking holds the awaited jobs whose state is being read.
+	asking map[string]bool
+	// inheriting are the jobs that have the urgency of others.
+	inheriting []*job.Job
+	// behind are the questions whose answer waits for the replica.
+	behind []behindQuestion
+	// reloading is set while the replica lacks the jobs of a home that was lost.
+	reloading bool
+	// next is when the states of awaited jobs are asked for again.
+	next time.Duration
+}
+
+// follow takes in which jobs a job awaits, when the replica gets it.
+func (c *Core) follow(j *job.Job) {
+	if j.Attempt > 0 || len(j.Awaits) == 0 {
+		c.awaits.graph.Forget(j.ID)
+		j.Awaiting = false // nothing is bound before all are done
+		return
+	}
+	if j.WasReady() {
+		return
+	}
+	var open []string
+	for _, id := range j.Awaits {
+		if c.finals[id].State != protocol.Done {
+			open = append(open, id)
+		}
+	}
+	c.awaits.graph.Wait(j.ID, open)
+	if len(open) == 0 {
+		c.ready(j)
+		return
+	}
+	j.Awaiting = true
+	if i := slices.IndexFunc(open, c.cancelled); i >= 0 {
+		c.cancelWith(j, open[i])
+	}
+}
+
+// ready lets a job begin whose last awaited job is done.
+func (c *Core) ready(j *job.Job) {
+	j.Ready(c.now.Steady, c.now.Wall)
+	c.sched.dirty = true
+	c.log(Debug, "job awaits nothing any more", "job", j.ID)
+}
+
+// upstreamEnded tells the jobs that wait for a job what has become of it, for good.
+func (c *Core) upstreamEnded(id, state string) {
+	if state == protocol.Done {
+		for _, f := range c.awaits.graph.Done(id) {
+			if j := c.jobs[f]; j != nil {
+				c.ready(j)
+			}
+		}
+		return
+	}
+	for _, f := range c.awaits.graph.Followers(id) {
+		c.cancelWith(c.jobs[f], id)
+	}
+}
+
+// cancelWith cancels a job because one that it awaits is cancelled. Nothing of it was ever
+// bound. Every controller derives that for itself; the home stores it when it next writes
+// the job.
+func (c *Core) cancelWith(j *job.Job, upstream string) {
+	if j == nil {
+		return
+	}
+	if !j.Cancelled {
+		c.log(Debug, "job is cancelled with one that it awaits", "job", j.ID, "awaited", upstream)
+		c.markCancelled(j)
+	}
+	c.remember(j.ID, protocol.JobState{ID: j.ID, State: protocol.Cancelled})
+}
+
+// tendAwaits reads what has become of awaited jobs that the replica does not hold: they
+// ended before this controller had read the stored state.
+func (c *Core) tendAwaits() {
+	if !c.every(&c.awaits.next, c.reportInterval()/6) {
+		return
+	}
+	for _, id := range c.awaits.graph.Waiting() {
+		if j := c.jobs[id]; j != nil && c.mine(j) {
+			c.readUpstream(c.awaits.graph.Awaited(id))
+		}
+	}
+}
+
+// readUpstream reads the states of those jobs that the replica does not hold, and reports
+// whether there are any.
+func (c *Core) readUpstream(ids []string) (unknown bool) {
+	for _, id := range ids {
+		if c.jobs[id] != nil {
+			continue
+		}
+		unknown = true
+		if c.awaits.asking[id] || c.awaits.reloading {
+			continue
+		}
+		c.awaits.asking[id] = true
+		c.inquire(id, func(f finding, s protocol.JobState) {
+			delete(c.awaits.asking, id)
+			if f == final {
+				c.upstreamEnded(id, s.State)
+			}
+		})
+	}
+	return unknown
+}
+
+// inheritUrgency lets awaited jobs be as urgent as those that need them.
+func (c *Core) inheritUrgency() {
+	if !c.awaits.graph.Changed() {
+		return
+	}
+	for _, j := range c.awaits.inheriting {
+		j.Inherit(nil)
+	}
+	c.awaits.inheriting = c.awaits.inheriting[:0]
+	urgencies := c.awaits.graph.Inherit(func(id string) (chain.Urgency, int64, bool) {
+		j := c.jobs[id]
+		if j == nil || j.Cancelled {
+			return chain.Urgency{}, 0, false
+		}
+		return chain.Urgency{Priority: j.Priority, LatestStart: j.OwnLatestStart()}, j.Runs(), true
+	})
+	for id, u := range ordered(urgencies) {
+		if j := c.jobs[id]; j != nil {
+			j.Inherit(&u)
+			c.awaits.inheriting = append(c.awaits.inheriting, j)
+		}
+	}
+	c.sched.dirty = true
+}
+
+// behindQuestion are questions on a job of which the state service has said, at a revision,
+// that it is not final. What the replica does not show yet may have cancelled it.
+type behindQuestion struct {
+	id       string
+	asked    []question
+	revision uint64
+}
+
+// tellActive answers questions on a job that has no final state at a revision, at once
+// where nothing else can have ended it.
+func (c *Core) tellActive(id string, qs []question, revision uint64) {
+	if j := c.jobs[id]; j != nil && !j.Cancelled && !c.awaits.graph.Waits(id) {
+		tellAll(qs, active, c.display(id))
+		return
+	}
+	c.awaits.behind = append(c.awaits.behind, behindQuestion{id, qs, revision})
+}
+
+// tellBehind answers the questions whose revision the replica has reached, and turns away
+// those whose users will not wait any longer.
+func (c *Core) tellBehind() {
+	waiting := c.awaits.behind
+	c.awaits.behind = nil
+	for _, b := range waiting {
+		switch {
+		case c.now.Steady-b.asked[0].at > protocol.PollTimeout/2:
+			tellAll(b.asked, untold, protocol.JobState{})
+		case !c.knownUpTo(b):
+			c.awaits.behind = append(c.awaits.behind, b)
+		default:
+			c.tellKnown(b)
+		}
+	}
+}
+
+// hasEnded tells whether a job is known to have ended, by its own final state or by a
+// cancellation that is not stored with it yet.
+func (c *Core) hasEnded(id string) bool {
+	if j := c.jobs[id]; j != nil && j.Cancelled {
+		c.remember(id, protocol.JobState{ID: id, State: protocol.Cancelled})
+	}
+	_, ended := c.finals[id]
+	return ended
+}
+
+// knownUpTo tells whether the replica shows all that may have cancelled a job up to the
+// revision of the question.
+func (c *Core) knownUpTo(b behindQuestion) bool {
+	if c.hasEnded(b.id) {
+		return true
+	}
+	if c.revision < b.revision || c.jobs[b.id] == nil && c.awaits.reloading {
+		return false
+	}
+	return !c.readUpstream(c.awaits.graph.Upstream(b.id))
+}
+
+func (c *Core) tellKnown(b behindQuestion) {
+	if !c.hasEnded(b.id) {
+		tellAll(b.asked, active, c.display(b.id))
+		return
+	}
+	for _, q := range b.asked {
+		c.inquire(b.id, q.tell)
+	}
+}
--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -128,7 +128,7 @@
 	case ends && !lowest(j):
 		return 0
 	case ends || j.Urgent:
-		return 1 + j.Priority
+		return 1 + j.Rank()
 	}
 	return rankRest
 }
--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -51,8 +51,14 @@
 // cancelled tells whether a job is known to be cancelled.
 func (c *Core) cancelled(id string) bool {
 	j := c.jobs[id]
+	return c.userCancelled(id) || j != nil && j.Cancelled || c.finals[id].State == protocol.Cancelled
+}
+
+// userCancelled tells whether a job is known to have been cancelled by its own user, and
+// not only with another that it awaits.
+func (c *Core) userCancelled(id string) bool {
 	_, withdrawn := c.withdrawn[id]
-	return withdrawn || j != nil && j.Cancelled || c.words[id] != nil || c.finals[id].State == protocol.Cancelled
+	return withdrawn || c.words[id] != nil
 }
 
 // stopForOthers stops the cancelled jobs of a team that has its home elsewhere.
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -69,5 +69,5 @@
 
 // right orders claims on the same room, the better one first.
 func right(a, b job.Ref) int {
-	return cmp.Or(cmp.Compare(a.Job.Priority, b.Job.Priority), cmp.Compare(a.Job.ID, b.Job.ID), cmp.Compare(a.Index, b.Index))
+	return cmp.Or(cmp.Compare(a.Job.Rank(), b.Job.Rank()), cmp.Compare(a.Job.ID, b.Job.ID), cmp.Compare(a.Index, b.Index))
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"pepperlever/internal/core/chain"
 	"pepperlever/internal/core/fairness"
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/rollout"
@@ -63,6 +64,7 @@
 	// goneAt holds the revisions that ended jobs.
 	goneAt  map[string]uint64
 	upgrade upgrade
+	awaits  awaits
 	// sites mirrors the hand-offs to and from other sites.
 	sites siteRecords
 
@@ -149,6 +151,7 @@
 	}
 	c.roster = append(slices.Collect(maps.Keys(c.peers)), cfg.Node)
 	slices.Sort(c.roster)
+	c.awaits = awaits{graph: chain.New(), asking: map[string]bool{}}
 	c.upgrade = upgrade{versions: rollout.New(c.roster), revisions: map[string]uint64{}}
 	return c
 }
@@ -255,6 +258,7 @@
 	report := c.reportInterval()
 	c.integrate()
 	c.tellUsers()
+	c.tellBehind()
 	if c.every(&c.timers.beat, report/3) {
 		c.nodeBeat()
 	}
@@ -272,6 +276,8 @@
 		c.forgetDecisions()
 	}
 	if c.loaded {
+		c.tendAwaits()
+		c.inheritUrgency()
 		c.tendApart()
 		c.tendLonely()
 	}
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -171,13 +171,16 @@
 	if err != nil {
 		return err.Error()
 	}
+	if len(s.Awaits) > 0 {
+		return "job awaits jobs of its own site"
+	}
 	return c.neverRuns(c.teamBy[s.Team], s)
 }
 
 // elsewhere tells whether a job that can never run here may go to a site that has
 // what it asks for.
 func (c *Core) elsewhere(s *job.Spec) bool {
-	return c.gate != nil && c.gate.cfg.Elsewhere(s.Class, s.Zone, s.Types)
+	return c.gate != nil && len(s.Awaits) == 0 && c.gate.cfg.Elsewhere(s.Class, s.Zone, s.Types)
 }
 
 // feedGate tells the machine which jobs wait, and which accepted ones have ended.
@@ -197,7 +200,7 @@
 		}
 	}
 	slices.SortFunc(jobs, func(a, b *job.Job) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(dueAt(a), dueAt(b)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(a.LatestStart(), b.LatestStart()), cmp.Compare(a.ID, b.ID))
 	})
 	if c.everyNodeKnows() {
 		for _, j := range jobs {
@@ -227,9 +230,10 @@
 // mostOffered is how many jobs are weighed at a time; more come next time.
 const mostOffered = 64
 
-// untouched tells whether nothing of a job was ever bound: only such are handed off.
+// untouched tells whether nothing of a job was ever bound: only such are handed off, and
+// none that awaits others, which another site does not know.
 func (c *Core) untouched(j *job.Job) bool {
-	return j.Attempt == 0 && len(j.Bound) == 0 && !j.Cancelled && !j.InFlight && j.Version > 0 && !c.away(j.ID)
+	return j.Attempt == 0 && len(j.Bound) == 0 && !j.Cancelled && !j.InFlight && j.Version > 0 && len(j.Awaits) == 0 && !c.away(j.ID)
 }
 
 // everyNodeKnows tells whether all live controllers keep away from jobs that are
--- a/internal/core/gate_test.go
+++ b/internal/core/gate_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"pepperlever/internal/gateway"
 	"pepperlever/internal/protocol"
 )
@@ -99,7 +101,7 @@
 	w, f := joined(t)
 	f.handIn("req-red-1")
 	if !f.play(time.Minute, func() bool {
-		return w.status("b", "req-red-1").Body.(protocol.JobState) == protocol.JobState{ID: "req-red-1", State: protocol.Running, Done: 1, Running: 2}
+		return cmp.Equal(w.status("b", "req-red-1").Body, protocol.JobState{ID: "req-red-1", State: protocol.Running, Done: 1, Running: 2})
 	}) {
 		t.Fatal("its progress is not followed")
 	}
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -165,5 +165,6 @@
 	for _, j := range t.jobs {
 		c.forgetJob(j)
 	}
+	c.awaits.reloading = true
 	c.emit(StoreReload{})
 }
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -13,7 +13,7 @@
 // lowest tells whether a job is of the lowest priority: it is done in idle time,
 // and what it asks for must not make the fleet dear.
 func lowest(j *job.Job) bool {
-	return j.Priority == len(protocol.Priorities)-1 && j.DeadlineS == 0
+	return j.Rank() == len(protocol.Priorities)-1 && !j.HasDeadline()
 }
 
 // idlePatience is for how many leases work for idle time waits without any room
--- /dev/null
+++ b/internal/core/job/await.go
@@ -0,0 +1,88 @@
+package job
+
+import (
+	"time"
+
+	"pepperlever/internal/core/chain"
+)
+
+// waiting is what a job's controllers derive from the jobs that it awaits and from those
+// that await it. None of it is stored.
+type waiting struct {
+	// Awaiting is set while some awaited job is not known to be done. Such a job holds
+	// nothing and is given nothing.
+	Awaiting bool
+	// readyAt is the time of day in milliseconds at which the last awaited job was known
+	// to be done, 0 for a job that never waited.
+	readyAt int64
+	// inherited is the urgency of the jobs that need this one, if any do.
+	inherited *chain.Urgency
+}
+
+// Ready ends the wait of a job for others.
+func (j *Job) Ready(now time.Duration, wall int64) {
+	j.Awaiting, j.readyAt, j.WaitingSince = false, wall, now
+}
+
+// WasReady tells whether the job waited for others and no longer does.
+func (j *Job) WasReady() bool { return j.readyAt > 0 }
+
+// Since is the time of day in milliseconds from which the job could begin: its acceptance,
+// or the end of the last job that it awaited.
+func (j *Job) Since() int64 { return max(j.Accepted, j.readyAt) }
+
+// Inherit gives a job the urgency of those that need it, or takes it back.
+func (j *Job) Inherit(u *chain.Urgency) { j.inherited = u }
+
+// Rank is the job's priority, or the highest of those that need it.
+func (j *Job) Rank() int {
+	if j.inherited != nil {
+		return min(j.Priority, j.inherited.Priority)
+	}
+	return j.Priority
+}
+
+// AboveNormal tells whether the job's rank is higher than the normal priority.
+func (j *Job) AboveNormal() bool { return j.Rank() < normal }
+
+// HasDeadline tells whether the job, or one that needs it, is to be done in time.
+func (j *Job) HasDeadline() bool {
+	return j.DeadlineS > 0 || j.inherited != nil && j.inherited.LatestStart != chain.NoDeadline
+}
+
+// Runs is the owner's estimate of a task's run time, in milliseconds.
+func (j *Job) Runs() int64 { return int64(j.EstimateS * 1000) }
+
+// LatestStart is the time of day in milliseconds at which the job would have to start for
+// all deadlines to be met. A job without any may wait for a few times its run time.
+func (j *Job) LatestStart() int64 {
+	start := j.OwnLatestStart()
+	if j.inherited != nil {
+		start = min(start, j.inherited.LatestStart)
+	}
+	if start == chain.NoDeadline {
+		return j.Since() + patience*j.Runs()
+	}
+	return start
+}
+
+// patience is for how many of its run times a job without a deadline may wait.
+const patience = 3
+
+// OwnLatestStart is the latest start by the job's own deadline.
+func (j *Job) OwnLatestStart() int64 {
+	if j.DeadlineS == 0 {
+		return chain.NoDeadline
+	}
+	return j.Accepted + int64(j.DeadlineS*1000) - j.Runs()
+}
+
+// Effective is the description as placing is to see it: with the job's rank.
+func (j *Job) Effective() *Spec {
+	if j.Rank() == j.Priority {
+		return &j.Spec
+	}
+	s := j.Spec
+	s.Priority = j.Rank()
+	return &s
+}
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -46,6 +46,7 @@
 	// that knows no more.
 	Attempt, StoredAttempt uint64
 	layout
+	waiting
 
 	// InFlight is set while a transaction on the job is not answered.
 	InFlight bool
@@ -149,9 +150,10 @@
 	j.Proven, j.Suspected, j.FailedOn, j.Probes, j.NotBefore = true, false, nil, 0, 0
 }
 
-// Waiting is the number of tasks that are neither done nor bound.
+// Waiting is the number of tasks that could be bound: neither done nor bound, and none of
+// a job that awaits others.
 func (j *Job) Waiting() int {
-	if j.Cancelled {
+	if j.Cancelled || j.Awaiting {
 		return 0
 	}
 	return j.Tasks - j.Done.Len() - len(j.Bound)
--- a/internal/core/job/spec.go
+++ b/internal/core/job/spec.go
@@ -71,6 +71,9 @@
 	CheckpointS float64  `json:"cp,omitempty"`
 	SaveS       float64  `json:"sv,omitempty"`
 	DeadlineS   float64  `json:"d,omitempty"`
+	// Awaits names the jobs that have to be done before any task of this one starts,
+	// without those that were done when it was accepted.
+	Awaits []string `json:"aw,omitempty"`
 	// Accepted is the time of day at acceptance in milliseconds. It orders
 	// work and sets deadlines; no rule depends on it.
 	Accepted int64 `json:"a"`
@@ -119,12 +122,31 @@
 	if p.err != nil {
 		return nil, p.err
 	}
-	if raw, _ := json.Marshal(s); len(raw) > maxBytes {
+	if len(s.withoutAwaits()) > maxBytes {
 		return nil, errors.New("description is too long")
 	}
 	return s, nil
 }
 
+// withoutAwaits is the stored form of the description without the awaited jobs.
+func (s *Spec) withoutAwaits() []byte {
+	bare := *s
+	bare.Awaits = nil
+	raw, err := json.Marshal(bare)
+	if err != nil {
+		panic(err) // plain data always has a JSON form
+	}
+	return raw
+}
+
+// AwaitsBytes is how long the stored list of awaited jobs is.
+func (s *Spec) AwaitsBytes() (n int) {
+	for _, id := range s.Awaits {
+		n += len(id) + len(`"",`)
+	}
+	return n
+}
+
 // SubmittedID is the id of the job that a submission is of, whatever else is wrong with it,
 // or nothing.
 func SubmittedID(body []byte) string {
@@ -228,9 +250,26 @@
 	if in.DeadlineS != nil {
 		s.DeadlineS = p.number("deadline", in.DeadlineS)
 	}
+	s.Awaits = p.jobs(in.Awaits)
 	return s
 }
 
+// jobs are the distinct jobs that a submission names, in its order.
+func (p *parser) jobs(in *[]string) (out []string) {
+	if in == nil {
+		return nil
+	}
+	for _, id := range *in {
+		if !ValidID(id) {
+			p.fail("awaited job's id", "is malformed")
+		}
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // ValidID tells whether id has the form of a job id and can be part of a key.
 func ValidID(id string) bool {
 	if !strings.HasPrefix(id, protocol.JobPrefix) || len(id) > 80 || len(id) == len(protocol.JobPrefix) {
@@ -261,5 +300,8 @@
 	if s.DeadlineS > 0 {
 		out.DeadlineS = &s.DeadlineS
 	}
+	if len(s.Awaits) > 0 {
+		out.Awaits = &s.Awaits
+	}
 	return out
 }
--- a/internal/core/job/stored.go
+++ b/internal/core/job/stored.go
@@ -57,7 +57,11 @@
 			finished.Add(c)
 		}
 	}
-	r := record{Spec: &j.Spec, Nonce: j.Nonce, Attempt: j.Attempt,
+	spec := j.Spec
+	if j.Attempt > 0 {
+		spec.Awaits = nil // they were done before anything was bound
+	}
+	r := record{Spec: &spec, Nonce: j.Nonce, Attempt: j.Attempt,
 		Finished: finished.Format(0, j.chunks()), Suspect: j.Suspected, First: j.chunk(0)}
 	if j.sized {
 		r.ChunkSize, r.Former, r.Moved = j.ChunkSize, j.former, j.moved.Format(0, j.chunks())
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -74,14 +74,26 @@
 		u.txn.Then = append(u.txn.Then, protocol.Change{Delete: head},
 			put(keyState+j.ID, stateKey{State: protocol.Done, Tasks: j.Tasks}))
 	case protocol.Cancelled:
-		u.txn.Then = append(u.txn.Then, protocol.Change{Delete: head},
-			protocol.Change{Delete: cancelKey(j.ID)})
+		u.txn.Then = append(u.txn.Then, protocol.Change{Delete: head})
+		c.closeCancelled(u)
 	default:
 		u.txn.Then = append(u.txn.Then, protocol.Change{Put: head, Value: j.Head()})
 		u.bound = c.newBindings(j, u, more)
 	}
 }
 
+// closeCancelled adds what else ends a cancelled job: its user's cancellation has stored
+// the final state; one that was cancelled with another has none yet.
+func (c *Core) closeCancelled(u *update) {
+	j := u.job
+	if c.userCancelled(j.ID) {
+		u.txn.Then = append(u.txn.Then, protocol.Change{Delete: cancelKey(j.ID)})
+		return
+	}
+	u.txn.If = append(u.txn.If, protocol.Condition{Key: cancelKey(j.ID)})
+	u.txn.Then = append(u.txn.Then, put(keyState+j.ID, stateKey{State: protocol.Cancelled}))
+}
+
 // newBindings lists the bindings that become stored by u, and adds the
 // conditions under which they may: the job is not cancelled, and no machine of
 // theirs is closing.
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -181,7 +181,7 @@
 // mayStop is the users' rule on preemption, within what the operator allows.
 func (c *Core) mayStop(j, v *job.Job) bool {
 	switch {
-	case v.Priority > j.Priority:
+	case v.Rank() > j.Rank():
 		return c.policy.Preemption || lowest(v) || j.Kind == job.Service && !v.AboveNormal()
 	case !c.policy.Preemption:
 		return false
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -25,6 +25,7 @@
 		c.written(item)
 	}
 	c.revision = max(c.revision, m.Revision)
+	c.awaits.reloading = false
 	c.caughtUp()
 	if !c.loaded {
 		c.checkLease()
@@ -225,6 +226,7 @@
 		}
 		delete(c.orphans, id)
 	}
+	c.follow(j)
 	c.sched.dirty = true
 	return nil
 }
@@ -256,6 +258,7 @@
 func (c *Core) forgetJob(j *job.Job) {
 	delete(c.jobs, j.ID)
 	c.ledger.Remove(j)
+	c.awaits.graph.Forget(j.ID)
 	if t := c.teamBy[j.Team]; t != nil {
 		delete(t.jobs, j.ID)
 	}
@@ -274,7 +277,11 @@
 		return
 	}
 	if j := c.jobs[id]; j != nil && !j.Cancelled && j.Version < revision {
-		c.remember(id, protocol.JobState{ID: id, State: protocol.Done, Done: j.Tasks})
+		if j.Awaiting { // never bound, so not done: its home knew of a cancellation before this node
+			c.remember(id, protocol.JobState{ID: id, State: protocol.Cancelled})
+		} else {
+			c.remember(id, protocol.JobState{ID: id, State: protocol.Done, Done: j.Tasks})
+		}
 	}
 	c.gone(id, revision)
 }
@@ -298,4 +305,5 @@
 		clear(c.finals)
 	}
 	c.finals[id] = s
+	c.upstreamEnded(id, s.State)
 }
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -211,7 +211,7 @@
 	if p := u.plans[j.ID]; p != nil {
 		return p
 	}
-	p := &plan{zones: c.zonesOf(j), unstored: map[string]bool{}, picker: placement.NewPicker(&j.Spec, unfailed(j, c.meantFor(u, j, hosts)))}
+	p := &plan{zones: c.zonesOf(j), unstored: map[string]bool{}, picker: placement.NewPicker(j.Effective(), unfailed(j, c.meantFor(u, j, hosts)))}
 	u.plans[j.ID] = p
 	for _, b := range j.Bound {
 		if !b.Stored {
@@ -312,7 +312,7 @@
 			continue
 		}
 		slices.SortFunc(u.jobs, func(a, b *job.Job) int {
-			return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(c.turnAt(a), c.turnAt(b)), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(cmp.Compare(a.Rank(), b.Rank()), cmp.Compare(c.turnAt(a), c.turnAt(b)), cmp.Compare(a.ID, b.ID))
 		})
 		turns = append(turns, u)
 		ranked = append(ranked, fairness.Team{Record: t.ranked, Weight: max(weights[i], 1), Overdue: overdue})
@@ -326,24 +326,12 @@
 // small ones began after up to six minutes.
 func (c *Core) turnAt(j *job.Job) int64 {
 	switch {
-	case len(j.Bound)+j.Done.Len() == 0 && float64(c.now.Wall-j.Accepted) > holdAfter*c.policy.TimeoutS*1000:
+	case len(j.Bound)+j.Done.Len() == 0 && float64(c.now.Wall-j.Since()) > holdAfter*c.policy.TimeoutS*1000:
 		return 0
-	case j.Kind == job.Gang && j.DeadlineS == 0:
+	case j.Kind == job.Gang && !j.HasDeadline():
 		return c.holdsFrom(j)
 	}
-	return dueAt(j)
-}
-
-// dueAt is the time of day at which a job would have to start to be in time.
-func dueAt(j *job.Job) int64 { return j.Accepted + slack(j) }
-
-// slack is how many milliseconds a job may wait.
-func slack(j *job.Job) int64 {
-	s := j.DeadlineS - j.EstimateS
-	if j.DeadlineS == 0 {
-		s = 3 * j.EstimateS
-	}
-	return int64(s * 1000)
+	return j.LatestStart()
 }
 
 // rightOf is the right of a job that found no room to dear machines: the
@@ -352,7 +340,7 @@
 	switch {
 	case lowest(j) && c.now.Steady-j.WaitingSince < idlePatience*seconds(c.cfg.Params.Workers.LeaseS):
 		return fleet.Idle
-	case c.now.Wall-j.Accepted > slack(j)/2:
+	case c.now.Wall-j.Since() > (j.LatestStart()-j.Since())/2:
 		return fleet.Pressed
 	case u.used.CPUs+j.Need.CPUs <= u.team.CPUs:
 		return fleet.Guaranteed
@@ -386,12 +374,12 @@
 	top := len(protocol.Priorities)
 	for i, u := range turns {
 		if !skip[i] {
-			top = min(top, u.jobs[0].Priority)
+			top = min(top, u.jobs[0].Rank())
 		}
 	}
 	out := slices.Clone(skip)
 	for i, u := range turns {
-		out[i] = skip[i] || u.jobs[0].Priority > top
+		out[i] = skip[i] || u.jobs[0].Rank() > top
 	}
 	return out
 }
@@ -399,7 +387,7 @@
 // placeNext places one allocation of a team: a task, or a whole gang. Jobs that
 // find no room leave their turn to the team's next of the same priority.
 func (c *Core) placeNext(u *turn, hosts []*placement.Host) (job.Resources, bool) {
-	for tier := u.jobs[0].Priority; len(u.jobs) > 0 && u.jobs[0].Priority == tier; {
+	for tier := u.jobs[0].Rank(); len(u.jobs) > 0 && u.jobs[0].Rank() == tier; {
 		j := u.jobs[0]
 		if c.sched.stuck.holds(j, c.cheapOnly(u, j), c.sched.keptNeeds) {
 			if withinLimit(u.team, u.used.Plus(j.Need, 1)) {
@@ -456,7 +444,7 @@
 	if j.Kind == job.Gang {
 		return // holdForGangs gathers them
 	}
-	if !lowest(j) && time.Duration(c.now.Wall-j.Accepted)*time.Millisecond >= seconds(c.policy.TimeoutS) {
+	if !lowest(j) && time.Duration(c.now.Wall-j.Since())*time.Millisecond >= seconds(c.policy.TimeoutS) {
 		c.sched.wanting = append(c.sched.wanting, fleet.Demand{Spec: &j.Spec, Tasks: left, Zones: c.boundZones(j)})
 	}
 	if as := func(kept job.Resources) bool { return j.Need.Fits(kept) }; !slices.ContainsFunc(c.sched.kept, as) {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -61,6 +61,10 @@
 		c.refuse(m.Req, s.ID, http.StatusUnprocessableEntity, why)
 		return
 	}
+	if len(s.Awaits) > 0 {
+		c.submitAwaiting(m.Req, t, s)
+		return
+	}
 	c.accept(m.Req, t, s)
 }
 
@@ -91,7 +95,7 @@
 	}, func(r StoreReply) {
 		switch r.Outcome {
 		case Applied:
-			c.log(Debug, "job accepted", "job", s.ID, "team", t.Name, "class", s.Class, "tasks", s.Tasks, "cpus", s.Need.CPUs, "memory", s.Need.MemoryGB, "estimate", s.EstimateS)
+			c.log(Debug, "job accepted", "job", s.ID, "team", t.Name, "class", s.Class, "tasks", s.Tasks, "cpus", s.Need.CPUs, "memory", s.Need.MemoryGB, "estimate", s.EstimateS, "awaits", s.Awaits)
 			c.announce(t, protocol.KeyValue{Key: active, Value: head, Version: r.Revision})
 			c.answer(req, http.StatusCreated, protocol.JobState{ID: s.ID, State: protocol.Queued})
 		case Conflict:
@@ -217,7 +221,7 @@
 
 // display is what the user of a job that is not final is told of its progress.
 func (c *Core) display(id string) protocol.JobState {
-	s := protocol.JobState{ID: id, State: protocol.Queued}
+	s := protocol.JobState{ID: id, State: protocol.Queued, Awaits: c.awaits.graph.Awaited(id)}
 	if c.away(id) {
 		s.Done, s.Running = c.sites.progress[id].Done, c.sites.progress[id].Running
 	} else if j := c.jobs[id]; j != nil {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -68,6 +68,7 @@
 	CheckpointS *float64  `json:"markEveryS"`
 	SaveS       *float64  `json:"markCostS"`
 	DeadlineS   *float64  `json:"dueS"`
+	Awaits      *[]string `json:"awaits,omitempty"`
 }
 
 // Job kinds on the wire.
@@ -94,6 +95,9 @@
 	State   string `json:"stance"`
 	Done    int    `json:"done"`
 	Running int    `json:"running"`
+	// Awaits names the jobs that have to be done before this one begins, as far as the
+	// controller that answers knows.
+	Awaits []string `json:"awaits,omitempty"`
 }
 
 // JobRow is a job in a list, and JobList a page of them; the protocol of the users
