--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -28,7 +28,9 @@
 	tell func(finding, protocol.JobState)
 	// exists is set once the job is known to have been accepted.
 	exists bool
-	at     time.Duration
+	// acceptance is set where that is all that is asked, and not how the job gets on.
+	acceptance bool
+	at         time.Duration
 }
 
 // asks gathers questions, so that one request to the state service answers as
@@ -51,6 +53,20 @@
 // while the user waits is turned away at once. Several questions on one job cost
 // no more than one.
 func (c *Core) inquire(id string, tell func(finding, protocol.JobState)) {
+	c.question(question{id: id, tell: tell})
+}
+
+// inquireAccepted finds out whether a job was accepted, and its final state if it has one.
+func (c *Core) inquireAccepted(id string, tell func(finding, protocol.JobState)) {
+	if j := c.jobs[id]; j != nil && !c.hasEnded(id) {
+		tell(active, protocol.JobState{ID: id})
+		return
+	}
+	c.question(question{id: id, tell: tell, acceptance: true})
+}
+
+func (c *Core) question(q question) {
+	id, tell := q.id, q.tell
 	if c.hasEnded(id) {
 		s := c.finals[id]
 		if c.untold[id] == nil {
@@ -68,7 +84,7 @@
 		tell(untold, protocol.JobState{})
 		return
 	}
-	q := question{id: id, tell: tell, exists: c.jobs[id] != nil, at: c.now.Steady}
+	q.exists, q.at = c.jobs[id] != nil, c.now.Steady
 	if q.exists {
 		a.known = append(a.known, q)
 	} else {
@@ -153,10 +169,7 @@
 		c.asks.level--
 		c.userGet(keyState+id, func(r StoreReply) { c.finalTold(id, qs, r) })
 	case slices.Contains(r.Failed, activeKey(id)):
-		for i := range qs {
-			qs[i].exists = true
-		}
-		c.asks.known = append(qs, c.asks.known...)
+		c.askActive(id, qs)
 	case qs[0].exists:
 		c.asks.known = append(qs, c.asks.known...)
 	default:
@@ -164,6 +177,20 @@
 	}
 }
 
+// askActive takes that a job was accepted, and asks on how it gets on.
+func (c *Core) askActive(id string, qs []question) {
+	var on []question
+	for _, q := range qs {
+		if q.acceptance {
+			q.tell(active, protocol.JobState{ID: id})
+			continue
+		}
+		q.exists = true
+		on = append(on, q)
+	}
+	c.asks.known = append(on, c.asks.known...)
+}
+
 // finalTold takes the final state of a job.
 func (c *Core) finalTold(id string, qs []question, r StoreReply) {
 	var k stateKey
--- a/internal/core/submitawaiting.go
+++ b/internal/core/submitawaiting.go
@@ -44,14 +44,10 @@
 // check finds out about one awaited job: that it was accepted is known for one that the
 // replica holds, and takes an answer of the state service otherwise.
 func (a *awaitedCheck) check(id string) {
-	if j := a.core.jobs[id]; j != nil {
-		if j.Kind == job.Service {
-			a.refusal = "job can't await a service"
-		}
-		a.checked()
-		return
+	if j := a.core.jobs[id]; j != nil && j.Kind == job.Service {
+		a.refusal = "job can't await a service"
 	}
-	a.core.inquire(id, func(f finding, s protocol.JobState) {
+	a.core.inquireAccepted(id, func(f finding, s protocol.JobState) {
 		switch {
 		case f == absent:
 			a.refusal = "awaited job " + id + " was never accepted"
