Tell every controller of an accepted job, and ask about awaited ones at once

Change: the note of an acceptance goes to all controllers, as it went to the home; the checks that a submission still needs are sent at once.

--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -119,6 +119,25 @@
 	}
 }
 
+// askStoreOfAwaited sends the checks for submissions at once, whatever checks have been sent:
+// users wait for much less than for the answer to a poll, and such submissions are few.
+func (c *Core) askStoreOfAwaited() {
+	var rest []question
+	var urgent []question
+	for _, q := range c.asks.strange {
+		if q.acceptance {
+			urgent = append(urgent, q)
+		} else {
+			rest = append(rest, q)
+		}
+	}
+	c.asks.strange = rest
+	for len(urgent) > 0 {
+		c.asks.level--
+		c.check(take(&urgent, c.maxConditions()/2))
+	}
+}
+
 // take removes the questions on the first n jobs.
 func take(from *[]question, n int) map[string][]question {
 	out := map[string][]question{}
--- a/internal/core/gatestore.go
+++ b/internal/core/gatestore.go
@@ -61,7 +61,7 @@
 		return
 	}
 	if j := c.jobs[d.Taken.Local]; j != nil {
-		c.announce(c.teamBy[j.Team], protocol.KeyValue{Key: activeKey(j.ID), Value: j.Head(), Version: revision})
+		c.announce(protocol.KeyValue{Key: activeKey(j.ID), Value: j.Head(), Version: revision})
 	}
 }
 
--- a/internal/core/submitawaiting.go
+++ b/internal/core/submitawaiting.go
@@ -26,6 +26,7 @@
 		for _, id := range slices.Clone(s.Awaits) {
 			a.check(id)
 		}
+		c.askStoreOfAwaited()
 	}
 }
 
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -96,7 +96,7 @@
 		switch r.Outcome {
 		case Applied:
 			c.log(Debug, "job accepted", "job", s.ID, "team", t.Name, "class", s.Class, "tasks", s.Tasks, "cpus", s.Need.CPUs, "memory", s.Need.MemoryGB, "estimate", s.EstimateS, "awaits", s.Awaits)
-			c.announce(t, protocol.KeyValue{Key: active, Value: head, Version: r.Revision})
+			c.announce(protocol.KeyValue{Key: active, Value: head, Version: r.Revision})
 			c.answer(req, http.StatusCreated, protocol.JobState{ID: s.ID, State: protocol.Queued})
 		case Conflict:
 			c.repeated(req, s.ID)
@@ -106,13 +106,11 @@
 	})
 }
 
-// announce passes an accepted job to its home at once, ahead of the watch.
-func (c *Core) announce(t *team, item protocol.KeyValue) {
-	if t.home == "" || t.home == c.cfg.Node {
-		c.written(item)
-		return
-	}
-	c.tell(t.home, PeerMsg{Accepted: &item})
+// announce tells every controller of an accepted job at once, ahead of the watch: its home
+// starts it, and any other may be asked to accept a job that awaits it a moment later.
+func (c *Core) announce(item protocol.KeyValue) {
+	c.written(item)
+	c.broadcast(PeerMsg{Accepted: &item})
 }
 
 // neverRuns tells why a job can never run, or nothing. What only has to wait, for other
