--- a/client/client.go
+++ b/client/client.go
@@ -37,6 +37,8 @@
 	State        string `json:"state"`
 	DoneTasks    int    `json:"done"`
 	RunningTasks int    `json:"running"`
+	// Awaits names the jobs that have to be done before this one begins.
+	Awaits []string `json:"awaits,omitempty"`
 }
 
 // Final tells whether the job has ended; a final state never changes.
@@ -133,6 +135,8 @@
 	Tasks    int    `json:"tasks"`
 	Done     int    `json:"done"`
 	Running  int    `json:"running"`
+	// Awaits names the jobs that have to be done before this one begins.
+	Awaits []string `json:"awaits,omitempty"`
 }
 
 // Jobs lists the jobs that have not ended, by id, as one controller last heard of
@@ -149,7 +153,7 @@
 			return nil, fmt.Errorf("answer is not understood: %w", err)
 		}
 		for _, r := range page.Jobs {
-			out = append(out, Row{r.ID, r.State, r.Team, r.Class, r.Priority, r.Tasks, r.Done, r.Running})
+			out = append(out, Row{r.ID, r.State, r.Team, r.Class, r.Priority, r.Tasks, r.Done, r.Running, r.Awaits})
 			after = r.ID
 		}
 		if !page.More || len(page.Jobs) == 0 {
@@ -238,7 +242,7 @@
 	if err := json.Unmarshal(answer, &s); err != nil {
 		return State{}, fmt.Errorf("answer is not understood: %w", err)
 	}
-	return State{ID: s.ID, State: s.State, DoneTasks: s.Done, RunningTasks: s.Running}, nil
+	return State{ID: s.ID, State: s.State, DoneTasks: s.Done, RunningTasks: s.Running, Awaits: s.Awaits}, nil
 }
 
 // try sends a request once. err tells why there is no good answer.
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -135,10 +135,10 @@
 
 func TestJobFilesAreChecked(t *testing.T) {
 	for text, want := range map[string]string{
-		"x.toml\nteam = \"red\"\ntasks = 3\n":    "",
-		"x.toml\nteem = \"red\"\n":               "line 1: unknown key",
-		"x.json\n{\"team\":\"red\",\"tasks\":3}": "",
-		"x.json\n{\"teem\":\"red\"}":             "unknown field",
+		"x.toml\nteam = \"red\"\ntasks = 3\nawaits = [\"req-1\"]\n": "",
+		"x.toml\nteem = \"red\"\n":                                  "line 1: unknown key",
+		"x.json\n{\"team\":\"red\",\"tasks\":3}":                    "",
+		"x.json\n{\"teem\":\"red\"}":                                "unknown field",
 	} {
 		name, body, _ := strings.Cut(text, "\n")
 		path := filepath.Join(t.TempDir(), name)
--- a/client/job.go
+++ b/client/job.go
@@ -56,6 +56,9 @@
 	// job should be complete, from its submission; 0: no deadline.
 	EstimateS float64 `toml:"estimate_s" json:"estimate_s"`
 	DeadlineS float64 `toml:"deadline_s" json:"deadline_s"`
+	// Awaits names jobs that have to be done before any task of this one starts. Where one
+	// of them is cancelled, so is this one.
+	Awaits []string `toml:"awaits" json:"awaits"`
 	// CheckpointS is after how much progress a task saves by itself, 0: never;
 	// SaveS how long it takes to save when it is stopped.
 	CheckpointS float64 `toml:"checkpoint_s" json:"checkpoint_s"`
@@ -135,5 +138,8 @@
 	if j.DeadlineS > 0 {
 		out.DeadlineS = &j.DeadlineS
 	}
+	if len(j.Awaits) > 0 {
+		out.Awaits = &j.Awaits
+	}
 	return out
 }
--- a/cmd/pepperlever/jobs.go
+++ b/cmd/pepperlever/jobs.go
@@ -74,6 +74,9 @@
 	if s.State == client.Running {
 		return fmt.Sprintf("%s %s: %d done, %d running", s.ID, s.State, s.DoneTasks, s.RunningTasks)
 	}
+	if len(s.Awaits) > 0 {
+		return fmt.Sprintf("%s %s: awaits %s", s.ID, s.State, strings.Join(s.Awaits, " "))
+	}
 	return s.ID + " " + s.State
 }
 
@@ -188,6 +191,7 @@
 	fl.BoolVar(&j.Spot, "spot", false, "may run on machines that can be taken back")
 	fl.Float64Var(&j.EstimateS, "estimate-s", 0, "guessed seconds that a task runs")
 	fl.Float64Var(&j.DeadlineS, "deadline-s", 0, "seconds until the job should be done")
+	fl.StringSliceVar(&j.Awaits, "awaits", nil, "jobs that have to be done before this one begins")
 	fl.Float64Var(&j.CheckpointS, "checkpoint-s", 0, "seconds of progress after which a task saves")
 	fl.Float64Var(&j.SaveS, "save-s", 0, "seconds that saving takes")
 }
@@ -234,9 +238,9 @@
 				return json.NewEncoder(cmd.OutOrStdout()).Encode(jobs)
 			}
 			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
-			fmt.Fprintln(w, "JOB\tTEAM\tCLASS\tPRIORITY\tSTATE\tTASKS\tDONE\tRUNNING")
+			fmt.Fprintln(w, "JOB\tTEAM\tCLASS\tPRIORITY\tSTATE\tTASKS\tDONE\tRUNNING\tAWAITS")
 			for _, j := range jobs {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\n", j.ID, j.Team, j.Class, j.Priority, j.State, j.Tasks, j.Done, j.Running)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", j.ID, j.Team, j.Class, j.Priority, j.State, j.Tasks, j.Done, j.Running, strings.Join(j.Awaits, " "))
 			}
 			return w.Flush()
 		},
--- a/cmd/pepperlever/jobs_test.go
+++ b/cmd/pepperlever/jobs_test.go
@@ -53,6 +53,7 @@
 	}{
 		"status":            {200, running, []string{"status", "req-1"}, "req-1 running: 3 done, 2 running\n", 0},
 		"status as JSON":    {200, running, []string{"status", "req-1", "--json"}, `{"id":"req-1","state":"running","done":3,"running":2}` + "\n", 0},
+		"awaits others":     {200, `{"uid":"req-1","stance":"pending","awaits":["req-2","req-3"]}`, []string{"status", "req-1"}, "req-1 pending: awaits req-2 req-3\n", 0},
 		"no such job":       {404, `{"error":"no such job"}`, []string{"status", "req-1"}, "", exitNotFound},
 		"refused":           {422, `{"error":"team is unknown"}`, []string{"submit", "--team", "x"}, "", exitRefused},
 		"cancelled, waited": {200, `{"uid":"req-1","stance":"cancelled"}`, []string{"wait", "req-1"}, "req-1 cancelled\n", exitCancelled},
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -55,6 +55,7 @@
 		return &core.Answer{Req: c.Req, Status: 200}
 	case core.Served:
 		return &core.Answer{Req: c.Req, Status: 200, Body: core.ServedRows{Unanswered: 8 * time.Second, Owed: 3, Unsure: 7 * time.Second,
+			Waiting: core.Waiting{Awaits: 5, Limit: 6}, Counts: core.Counts{Cascades: 4, Oversized: 2},
 			Rows: []tally.Row{{Kind: "class", Name: "train", Accepted: 3, LargestStarted: 1, Oldest: 7 * time.Second}}}}
 	case core.Beat:
 		return &core.Answer{Req: c.Req, Status: 200, Body: c.Report.Machine}
@@ -85,6 +86,10 @@
 		{false, "GET", "/metrics", "", 200, "pepperlever_longest_unanswered_seconds 8"},
 		{false, "GET", "/metrics", "", 200, "pepperlever_cancellations_owed 3"},
 		{false, "GET", "/metrics", "", 200, "pepperlever_unsure_seconds 7"},
+		{false, "GET", "/metrics", "", 200, `pepperlever_waiting_tasks{reason="awaits"} 5`},
+		{false, "GET", "/metrics", "", 200, `pepperlever_waiting_tasks{reason="limit"} 6`},
+		{false, "GET", "/metrics", "", 200, "pepperlever_cascaded_cancellations_total 4"},
+		{false, "GET", "/metrics", "", 200, "pepperlever_oversized_transactions_total 2"},
 		{true, "GET", "/gateway/status", "", 200, `"node":"a"`},
 		{true, "POST", "/gateway/status", "", 405, ""},
 		{true, "POST", "/gateway/give-up", `{"name":"req-1","why":"lost","o":"drain"}`, 200, "give-up req-1 lost"},
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -98,5 +98,14 @@
 	fmt.Fprintf(&b, "pepperlever_longest_unanswered_seconds %.0f\n", s.Unanswered.Seconds())
 	fmt.Fprintf(&b, "pepperlever_cancellations_owed %d\n", s.Owed)
 	fmt.Fprintf(&b, "pepperlever_unsure_seconds %.0f\n", s.Unsure.Seconds())
+	for _, w := range []struct {
+		reason string
+		tasks  int
+	}{{"awaits", s.Awaits}, {"limit", s.Limit}, {"room", s.Room}} {
+		fmt.Fprintf(&b, "pepperlever_waiting_tasks{reason=%q} %d\n", w.reason, w.tasks)
+	}
+	fmt.Fprintf(&b, "pepperlever_cascaded_cancellations_total %d\n", s.Cascades)
+	fmt.Fprintf(&b, "pepperlever_split_jobs_total %d\n", s.Splits)
+	fmt.Fprintf(&b, "pepperlever_oversized_transactions_total %d\n", s.Oversized)
 	return []byte(b.String())
 }
--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -82,6 +82,7 @@
 	}
 	if !j.Cancelled {
 		c.log(Debug, "job is cancelled with one that it awaits", "job", j.ID, "awaited", upstream)
+		c.counts.Cascades++
 		c.markCancelled(j)
 	}
 	c.remember(j.ID, protocol.JobState{ID: j.ID, State: protocol.Cancelled})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,6 +96,7 @@
 	apart   apart
 	lonely  lonely
 	tally   *tally.Tally
+	counts  Counts
 
 	// gate is this site's gateway to others, nil without one.
 	gate *gate
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -76,10 +76,13 @@
 		Outcome Outcome
 		// Down tells of a refusal that is not for want of room: trying again at
 		// once is no use.
-		Down     bool
-		Revision uint64
-		Failed   []string
-		Item     protocol.KeyValue
+		Down bool
+		// TooMany tells of a refusal for want of room, Oversized of one because the
+		// transaction does not fit the state service's limits, or is malformed.
+		TooMany, Oversized bool
+		Revision           uint64
+		Failed             []string
+		Item               protocol.KeyValue
 	}
 	// Loaded is the whole stored state as of Revision or a little later.
 	Loaded struct {
--- a/internal/core/proof.go
+++ b/internal/core/proof.go
@@ -49,6 +49,9 @@
 // answered takes an answer of the state service: it holds all that was stored when the
 // request was sent.
 func (c *Core) answered(at time.Duration, r StoreReply) {
+	if r.Oversized {
+		c.counts.Oversized++
+	}
 	if r.Revision == 0 || r.Outcome != Applied && r.Outcome != Conflict && r.Outcome != Missing {
 		return
 	}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -487,16 +487,11 @@
 func (c *Core) unplaced(u *turn, j *job.Job, n int) {
 	c.sched.aside.short = c.sched.aside.short || j.Need.GPUs > 0
 	right := c.rightOf(u, j)
-	used := u.used
-	fit := 0
 	if right == fleet.Idle {
 		n = c.worth(j, n)
 	}
-	for fit < n && withinLimit(u.team, used.Plus(j.Need, 1)) {
-		used = used.Plus(j.Need, 1)
-		fit++
-	}
-	u.used = used
+	fit := c.fitsLimit(u.team, u.used, j, n)
+	u.used = u.used.Plus(j.Need, float64(fit))
 	if fit > 0 {
 		c.sched.unplaced = append(c.sched.unplaced, fleet.Demand{Spec: &j.Spec, Tasks: fit, Right: right, Zones: c.boundZones(j)})
 	}
--- a/internal/core/served.go
+++ b/internal/core/served.go
@@ -16,10 +16,13 @@
 	// long one may have been confirmed that this controller does not know of.
 	Owed   int
 	Unsure time.Duration
+	Waiting
+	Counts
 }
 
 func (c *Core) served() ServedRows {
-	return ServedRows{c.tally.Rows(c.now.Steady), c.tally.Longest(), c.owedWords(), c.now.Steady - c.sureUntil()}
+	return ServedRows{Rows: c.tally.Rows(c.now.Steady), Unanswered: c.tally.Longest(), Owed: c.owedWords(),
+		Unsure: c.now.Steady - c.sureUntil(), Waiting: c.waiting(), Counts: c.counts}
 }
 
 // tellEvery is the pause, in report intervals, between two accounts in the log.
@@ -29,6 +32,7 @@
 // renter, which mirrors them all.
 func (c *Core) tellServed() {
 	s := c.served()
+	c.log(Info, "tasks wait", "for others", s.Awaits, "for their team's limit", s.Limit, "for room", s.Room)
 	for _, r := range s.Rows {
 		c.log(Info, "served", r.Kind, r.Name, "accepted", r.Accepted, "started", r.Started, "done", r.Done, "cancelled", r.Cancelled,
 			"largest", r.Largest, "of these accepted", r.LargestAccepted, "started of these", r.LargestStarted, "oldest waits", r.Oldest.Round(time.Second),
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -63,8 +63,12 @@
 // splitChunks divides a stored job whose chunks may be too large for the limits to come,
 // before it is written again.
 func (c *Core) splitChunks(j *job.Job) {
-	if c.allUpgraded() {
-		j.Split(c.smallChunk(), c.chunksPerTxn(headChanges))
+	if !c.allUpgraded() || j.ChunkSize <= c.smallChunk() {
+		return
+	}
+	if j.Split(c.smallChunk(), c.chunksPerTxn(headChanges)) {
+		c.counts.Splits++
+		c.log(Debug, "job is stored in smaller chunks", "job", j.ID, "tasks a chunk", j.ChunkSize)
 	}
 }
 
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -200,14 +200,16 @@
 		return
 	}
 	out := protocol.JobList{Jobs: []protocol.JobRow{}}
+	awaitsBytes := 0
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		if id <= m.After {
 			continue
 		}
-		if out.More = len(out.Jobs) == protocol.JobsPage; out.More {
+		j := c.jobs[id]
+		awaitsBytes += j.AwaitsBytes()
+		if out.More = len(out.Jobs) == protocol.JobsPage || len(out.Jobs) > 0 && awaitsBytes > protocol.PageAwaitsBytes; out.More {
 			break
 		}
-		j := c.jobs[id]
 		row := protocol.JobRow{JobState: c.display(id), Team: j.Team, Class: j.Class, Priority: protocol.Priorities[j.Priority], Tasks: j.Tasks}
 		if j.Cancelled {
 			row.State = protocol.Cancelled
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -119,6 +119,9 @@
 // JobsPage is how many jobs a page has; it keeps the answer's line within bounds.
 const JobsPage = 200
 
+// PageAwaitsBytes is about how long the lists of awaited jobs of a page may be together.
+const PageAwaitsBytes = MaxBody / 4
+
 // Problem tells what was wrong with a request.
 type Problem struct {
 	Error string `json:"error"`
--- a/internal/sitelink/link.go
+++ b/internal/sitelink/link.go
@@ -1,3 +1,5 @@
+//lint:file-ignore SA1019 net/http has no way yet to serve HTTP/2 on one connection that was accepted and checked before.
+
 // Package sitelink carries messages between the gateways of sites: HTTP/2 streams
 // over mutual TLS, a JSON line a message. Each site opens streams to the others for
 // what it sends; the answers hold what was refused, and why.
--- a/internal/sitelink/link_test.go
+++ b/internal/sitelink/link_test.go
@@ -1,3 +1,5 @@
+//lint:file-ignore SA1019 net/http has no way yet to serve HTTP/2 on one connection that was accepted and checked before.
+
 package sitelink
 
 import (
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -29,14 +29,13 @@
 }
 
 // txn does a transaction.
-func (c *client) txn(t protocol.Txn) (core.StoreReply, refusal) {
+func (c *client) txn(t protocol.Txn) core.StoreReply {
 	var r protocol.TxnResult
 	if t.If == nil {
 		t.If = []protocol.Condition{}
 	}
 	status, err := c.call(fasthttp.MethodPost, protocol.PathTxn, t, &r)
 	out := core.StoreReply{Revision: r.Revision, Failed: r.Failed}
-	why := refusal{}
 	switch {
 	case errors.Is(err, httpc.ErrUnsent):
 		out.Outcome, out.Down = core.Refused, true
@@ -50,18 +49,14 @@
 		out.Outcome = core.NoLease
 	case status == fasthttp.StatusBadRequest:
 		slog.Error("state service calls a transaction malformed", "error", r.Error, "changes", len(t.Then), "conditions", len(t.If), "largest value", largestValue(t))
-		out.Outcome, why.oversized = core.Refused, true
+		out.Outcome, out.Oversized = core.Refused, true
 	default:
 		out.Outcome, out.Down = core.Refused, status == fasthttp.StatusServiceUnavailable
-		why.tooMany = status == fasthttp.StatusTooManyRequests
+		out.TooMany = status == fasthttp.StatusTooManyRequests
 	}
-	return out, why
+	return out
 }
 
-// refusal is why the state service refused a transaction: it had no room for so many
-// requests or changes, or the transaction was too large.
-type refusal struct{ tooMany, oversized bool }
-
 // largestValue is the length of the longest value that a transaction writes.
 func largestValue(t protocol.Txn) (n int) {
 	for _, ch := range t.Then {
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -42,19 +42,19 @@
 		status int
 		body   string
 		want   core.Outcome
-		why    refusal
+		why    core.StoreReply
 	}{
-		"applied":      {200, `{"ledgerTick":7}`, core.Applied, refusal{}},
-		"conflict":     {409, `{"failed":["k"],"ledgerTick":6}`, core.Conflict, refusal{}},
-		"lease ended":  {400, `{"error":"no such lease"}`, core.NoLease, refusal{}},
-		"malformed":    {400, `{"error":"bad key"}`, core.Refused, refusal{oversized: true}},
-		"too many":     {429, ``, core.Refused, refusal{tooMany: true}},
-		"down":         {503, ``, core.Refused, refusal{}},
-		"hangs up":     {0, ``, core.Unknown, refusal{}},
-		"broken reply": {200, `{"ledgerTick":`, core.Unknown, refusal{}},
+		"applied":      {200, `{"ledgerTick":7}`, core.Applied, core.StoreReply{}},
+		"conflict":     {409, `{"failed":["k"],"ledgerTick":6}`, core.Conflict, core.StoreReply{}},
+		"lease ended":  {400, `{"error":"no such lease"}`, core.NoLease, core.StoreReply{}},
+		"malformed":    {400, `{"error":"bad key"}`, core.Refused, core.StoreReply{Oversized: true}},
+		"too many":     {429, ``, core.Refused, core.StoreReply{TooMany: true}},
+		"down":         {503, ``, core.Refused, core.StoreReply{}},
+		"hangs up":     {0, ``, core.Unknown, core.StoreReply{}},
+		"broken reply": {200, `{"ledgerTick":`, core.Unknown, core.StoreReply{}},
 	} {
-		if got, why := standIn(t, c.status, c.body).txn(txn); got.Outcome != c.want || why != c.why {
-			t.Errorf("%s: got %d for %v, want %d for %v", name, got.Outcome, why, c.want, c.why)
+		if got := standIn(t, c.status, c.body).txn(txn); got.Outcome != c.want || got.TooMany != c.why.TooMany || got.Oversized != c.why.Oversized {
+			t.Errorf("%s: got %+v, want %d for %+v", name, got, c.want, c.why)
 		}
 	}
 }
@@ -66,7 +66,7 @@
 	}
 	addr := ln.Addr().String()
 	ln.Close()
-	if got, _ := newClient(addr, patience).txn(protocol.Txn{}); got.Outcome != core.Refused {
+	if got := newClient(addr, patience).txn(protocol.Txn{}); got.Outcome != core.Refused {
 		t.Errorf("got %d", got.Outcome)
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -108,8 +108,8 @@
 func (s *Store) Txn(t core.StoreTxn) {
 	s.queue(t.Urgent || t.Quick, t.ID, func() core.StoreReply {
 		return s.try(t.Quick, len(t.Txn.Then), func() core.StoreReply {
-			r, why := s.quick.txn(t.Txn)
-			s.notePressure(len(t.Txn.Then), why)
+			r := s.quick.txn(t.Txn)
+			s.notePressure(len(t.Txn.Then), r)
 			return r
 		})
 	})
@@ -117,9 +117,9 @@
 
 // notePressure goes over to the limits that come into force at a moment nobody tells, as
 // soon as the state service shows that they have.
-func (s *Store) notePressure(changes int, why refusal) {
+func (s *Store) notePressure(changes int, r core.StoreReply) {
 	state := s.cfg.Params.State
-	if state.Tightest() == state.StateLimits || !s.pressure.note(time.Now(), changes, why.tooMany, why.oversized) {
+	if state.Tightest() == state.StateLimits || !s.pressure.note(time.Now(), changes, r.TooMany, r.Oversized) {
 		return
 	}
 	s.limit.setWrites(state.Tightest().WriteRPS)
