--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -227,7 +227,7 @@
 		s.Done = k.Tasks
 	}
 	if k.State == protocol.Cancelled {
-		c.cancelKnown(Word{Job: id, Revision: r.Item.Version})
+		c.cancelKnown(Cancellation{Job: id, Revision: r.Item.Version})
 		c.announceCancel(id)
 	} else {
 		c.remember(id, s)
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -309,7 +309,7 @@
 			c.listIn(l)
 			c.tendListed()
 		}
-		if len(c.rental.doomed) > 0 {
+		if len(c.rental.returning) > 0 {
 			b.Fatal("a machine is given up")
 		}
 	})
--- a/internal/core/boots_test.go
+++ b/internal/core/boots_test.go
@@ -40,7 +40,7 @@
 		t.Errorf("%d of 10 late machines are awaited", n)
 	}
 	c.tendListed()
-	if n := len(c.rental.doomed); n > 0 {
+	if n := len(c.rental.returning); n > 0 {
 		t.Errorf("%d late machines are given up", n)
 	}
 }
@@ -57,7 +57,7 @@
 		t.Errorf("%d machines are awaited that hardly come", n)
 	}
 	c.tendListed()
-	if c.rental.doomed["vm-9009"] == "" {
+	if c.rental.returning["vm-9009"] == "" {
 		t.Error("the machine that does not come up is kept")
 	}
 }
@@ -68,7 +68,7 @@
 	c := renter(t, 40, 2*(slowest+1)*2*5*time.Second)
 	c.now.Steady += c.silence() + time.Second
 	c.tendListed()
-	if n := len(c.rental.doomed); n != 40 {
+	if n := len(c.rental.returning); n != 40 {
 		t.Errorf("%d of 40 machines that never come are given up", n)
 	}
 }
--- a/internal/core/words.go
+++ b/internal/core/broadcast.go
@@ -7,10 +7,10 @@
 	"pepperlever/internal/protocol"
 )
 
-// Word says that the state service holds the cancellation of a job. That is final, so
-// whoever gets a word acts on it at once, whatever its own replica shows; all other
-// messages between controllers are advice.
-type Word struct {
+// Cancellation says that the state service holds the cancellation of a job. That is final,
+// so whoever gets it acts on it at once, whatever its own replica shows; all other messages
+// between controllers are advice.
+type Cancellation struct {
 	Job string `json:"j"`
 	// Revision is one at which the cancellation was stored, Asked the time of day at
 	// which the user asked for it, in milliseconds.
@@ -18,9 +18,9 @@
 	Asked    int64  `json:"t,omitempty"`
 }
 
-// word is a Word that is known here, and how far it has spread.
-type word struct {
-	Word
+// broadcast is a Cancellation that is known here, and which controllers have acknowledged it.
+type broadcast struct {
+	Cancellation
 	at time.Duration
 	// had holds the controllers that have said that they know. A later run of one reads
 	// it in the stored state before it answers a worker.
@@ -30,37 +30,37 @@
 }
 
 const (
-	// wordsPerMsg bounds a message, maxWords the memory. Past it the oldest are
+	// cancellationsPerMsg bounds a message, maxBroadcasts the memory. Past it the oldest are
 	// dropped, which are left to the watch of those that have not heard of them.
-	wordsPerMsg = 256
-	maxWords    = 4 * finalsKept
-	// wordLife is for how many times the time allowed a word is passed on.
-	wordLife = 4
+	cancellationsPerMsg = 256
+	maxBroadcasts       = 4 * finalsKept
+	// broadcastLife is for how many times the time allowed a cancellation is broadcast.
+	broadcastLife = 4
 )
 
 // cancelKnown notes a cancellation that the state service holds, whoever told of it:
 // this node's own write, its watch, an answer of the store, or another controller.
-func (c *Core) cancelKnown(k Word) {
+func (c *Core) cancelKnown(k Cancellation) {
 	if s, known := c.finals[k.Job]; known && s.State != protocol.Cancelled {
 		c.log(Error, "cancellation of a job that has ended otherwise is ignored", "job", k.Job, "state", s.State)
 		return
 	}
 	c.remember(k.Job, protocol.JobState{ID: k.Job, State: protocol.Cancelled})
-	if w := c.words[k.Job]; w != nil {
+	if w := c.broadcasts[k.Job]; w != nil {
 		w.Revision, w.Asked = min(w.Revision, k.Revision), max(w.Asked, k.Asked)
 	} else if c.goneAt[k.Job] == 0 {
-		c.addWord(k)
+		c.startBroadcast(k)
 	}
 	c.markCancelled(c.jobs[k.Job])
 }
 
-func (c *Core) addWord(k Word) {
-	w := &word{Word: k, at: c.now.Steady, had: map[string]bool{}}
-	c.words[k.Job] = w
-	c.wordOrder = append(c.wordOrder, k.Job)
-	for len(c.wordOrder) > maxWords {
-		delete(c.words, c.wordOrder[0])
-		c.wordOrder = c.wordOrder[1:]
+func (c *Core) startBroadcast(k Cancellation) {
+	w := &broadcast{Cancellation: k, at: c.now.Steady, had: map[string]bool{}}
+	c.broadcasts[k.Job] = w
+	c.broadcastOrder = append(c.broadcastOrder, k.Job)
+	for len(c.broadcastOrder) > maxBroadcasts {
+		delete(c.broadcasts, c.broadcastOrder[0])
+		c.broadcastOrder = c.broadcastOrder[1:]
 	}
 	c.timers.stop = 0
 }
@@ -68,7 +68,7 @@
 // stopReported stops the tasks of cancelled jobs that the newest reports of own machines
 // show: neither the job, nor a binding, nor the state service is needed for it.
 func (c *Core) stopReported() {
-	if len(c.words) == 0 {
+	if len(c.broadcasts) == 0 {
 		return
 	}
 	for machine := range ordered(c.own) {
@@ -77,7 +77,7 @@
 			continue
 		}
 		for _, t := range m.Tasks {
-			if id, _, ok := job.SplitTask(t.Task); ok && t.State != protocol.Exited && c.words[id] != nil {
+			if id, _, ok := job.SplitTask(t.Task); ok && t.State != protocol.Exited && c.broadcasts[id] != nil {
 				c.dismiss(m, t)
 			}
 		}
@@ -86,25 +86,25 @@
 
 // knows tells whether a controller is known to know of a cancellation: it has said so,
 // or its replica is past it.
-func (c *Core) knows(node string, w *word) bool {
+func (c *Core) knows(node string, w *broadcast) bool {
 	p := c.peers[node]
 	return node == c.cfg.Node || p != nil && (w.had[node] || p.revision >= w.Revision)
 }
 
-// wordsIn takes words of another controller, and says so.
-func (c *Core) wordsIn(node string, words []Word) {
+// cancellationsIn takes cancellations of another controller, and acknowledges them.
+func (c *Core) cancellationsIn(node string, told []Cancellation) {
 	if c.peers[node] == nil {
 		return
 	}
 	var known []string
-	for _, word := range words {
-		if !job.ValidID(word.Job) || word.Revision == 0 {
-			c.log(Error, "word of a cancellation is not understood", "node", node, "job", word.Job)
+	for _, k := range told {
+		if !job.ValidID(k.Job) || k.Revision == 0 {
+			c.log(Error, "cancellation is not understood", "node", node, "job", k.Job)
 			continue
 		}
-		c.cancelKnown(word)
-		known = append(known, word.Job)
-		if w := c.words[word.Job]; w != nil {
+		c.cancelKnown(k)
+		known = append(known, k.Job)
+		if w := c.broadcasts[k.Job]; w != nil {
 			w.had[node] = true
 		}
 	}
@@ -113,10 +113,10 @@
 	}
 }
 
-// knownIn notes of which jobs a controller has said that it knows them to be cancelled.
-func (c *Core) knownIn(node string, jobs []string) {
+// acknowledgedIn notes of which jobs a controller has said that it knows them to be cancelled.
+func (c *Core) acknowledgedIn(node string, jobs []string) {
 	for _, id := range jobs {
-		if w := c.words[id]; w != nil {
+		if w := c.broadcasts[id]; w != nil {
 			w.had[node] = true
 		}
 	}
@@ -127,8 +127,8 @@
 // moment. No user is told before another controller knows: else nobody would, if this node
 // ended and the state service with it.
 func (c *Core) announceCancel(id string) {
-	if w := c.words[id]; w != nil && !c.anotherKnows(w) {
-		c.broadcast(PeerMsg{Words: []Word{w.Word}})
+	if w := c.broadcasts[id]; w != nil && !c.anotherKnows(w) {
+		c.broadcast(PeerMsg{Cancellations: []Cancellation{w.Cancellation}})
 		c.untold[id] = w
 	}
 }
@@ -156,7 +156,7 @@
 
 // anotherKnows tells whether a second controller knows of a cancellation, or there is
 // none. One of the release before can't say so: it is left to its watch.
-func (c *Core) anotherKnows(w *word) bool {
+func (c *Core) anotherKnows(w *broadcast) bool {
 	alone := true
 	for node, p := range c.peers {
 		_, live := c.nodes[node]
@@ -168,9 +168,9 @@
 	return alone
 }
 
-// owedWords counts the words that some controller is not known to know.
-func (c *Core) owedWords() (n int) {
-	for _, w := range c.words {
+// unacknowledged counts the cancellations that some controller is not known to know.
+func (c *Core) unacknowledged() (n int) {
+	for _, w := range c.broadcasts {
 		for node := range c.peers {
 			if !c.knows(node, w) {
 				n++
@@ -181,42 +181,42 @@
 	return n
 }
 
-// tendWords passes words on to all that are not known to know, until they do, over
+// tendBroadcasts broadcasts cancellations again to all that are not known to know, until they do, over
 // every way there is. Stops go out again until reports show the end.
-func (c *Core) tendWords() {
-	kept := c.wordOrder[:0]
-	for _, id := range c.wordOrder {
-		w := c.words[id]
+func (c *Core) tendBroadcasts() {
+	kept := c.broadcastOrder[:0]
+	for _, id := range c.broadcastOrder {
+		w := c.broadcasts[id]
 		if w == nil {
 			continue
 		}
-		if c.now.Steady-w.at > wordLife*c.allowed() {
-			delete(c.words, id)
+		if c.now.Steady-w.at > broadcastLife*c.allowed() {
+			delete(c.broadcasts, id)
 			continue
 		}
 		kept = append(kept, id)
 	}
-	c.wordOrder = kept
+	c.broadcastOrder = kept
 	for _, p := range c.cfg.Peers {
-		c.passOn(p.Node)
+		c.rebroadcast(p.Node)
 	}
 	if c.every(&c.timers.stop, c.reportInterval()) {
 		c.stopReported()
 	}
 }
 
-// passOn tells a controller the words that it is not known to know. For a report interval
+// rebroadcast tells a controller the cancellations that it is not known to know. For a report interval
 // they are left to its watch.
-func (c *Core) passOn(node string) {
-	var out []Word
-	for _, id := range c.wordOrder {
-		if w := c.words[id]; w != nil && c.now.Steady-w.at >= c.reportInterval() && !c.knows(node, w) {
-			if out = append(out, w.Word); len(out) == wordsPerMsg {
+func (c *Core) rebroadcast(node string) {
+	var out []Cancellation
+	for _, id := range c.broadcastOrder {
+		if w := c.broadcasts[id]; w != nil && c.now.Steady-w.at >= c.reportInterval() && !c.knows(node, w) {
+			if out = append(out, w.Cancellation); len(out) == cancellationsPerMsg {
 				break
 			}
 		}
 	}
 	if len(out) > 0 {
-		c.sendPeer(node, PeerMsg{Words: out})
+		c.sendPeer(node, PeerMsg{Cancellations: out})
 	}
 }
--- a/internal/core/words_test.go
+++ b/internal/core/broadcast_test.go
@@ -29,7 +29,7 @@
 		"a beat that answers":            {beat(NodeBeat{Revision: 5, Echoes: []Echo{{"c", "b.1"}, {"a", "a.1"}}}), sent},
 		"one that answers another's":     {beat(NodeBeat{Revision: 5, Echoes: []Echo{{"c", "a.1"}}}), 0},
 		"one that answers a former run":  {beat(NodeBeat{Revision: 5, Echoes: []Echo{{"a", "x.1"}}}), 0},
-		"one that owes words":            {beat(NodeBeat{Revision: 5, Owes: []string{"a"}, Echoes: []Echo{{"a", "a.1"}}}), 0},
+		"one that owes others":           {beat(NodeBeat{Revision: 5, Owes: []string{"a"}, Echoes: []Echo{{"a", "a.1"}}}), 0},
 		"one of a run that has not read": {beat(NodeBeat{Echoes: []Echo{{"a", "a.1"}}}), 0},
 		"one of two others": {func(c *Core) {
 			c.nodeBeatIn("b", NodeBeat{Revision: 5, Echoes: []Echo{{"a", "a.1"}}})
@@ -57,12 +57,12 @@
 	}
 }
 
-// A start that waits for its delivery, or comes after it, while a word says that its job
+// A start that waits for its delivery, or comes after it, while a broadcast says that its job
 // is cancelled: neither is given, though the job is not known here.
-func TestWordKeepsStartsBack(t *testing.T) {
-	word := Word{Job: "req-free-1", Revision: 3}
+func TestCancellationKeepsStartsBack(t *testing.T) {
+	told := Cancellation{Job: "req-free-1", Revision: 3}
 	start := Start{Machine: "vm", Task: "req-free-1/0", Attempt: 1, Term: 1, Session: 1}
-	for name, wordFirst := range map[string]bool{"the word comes first": true, "the start comes first": false} {
+	for name, toldFirst := range map[string]bool{"the broadcast comes first": true, "the start comes first": false} {
 		c := newWorld(t).cores["a"]
 		c.catalogIn(CatalogIn{Types: newWorld(t).types})
 		c.term.own[1] = true
@@ -70,14 +70,14 @@
 		c.own["vm"] = w
 		m := c.addMachine("vm")
 		m.Machine, m.Type, m.Node = "vm", "small", "a"
-		if wordFirst {
-			c.wordsIn("b", []Word{word})
+		if toldFirst {
+			c.cancellationsIn("b", []Cancellation{told})
 		}
 		c.start("b", start)
-		if waits := len(w.queue) > 0; waits == wordFirst {
+		if waits := len(w.queue) > 0; waits == toldFirst {
 			t.Errorf("%s: the start waits: %v", name, waits)
 		}
-		c.wordsIn("b", []Word{word})
+		c.cancellationsIn("b", []Cancellation{told})
 		c.deliver("vm", w)
 		if len(w.queue) > 0 || len(w.sent) > 0 {
 			t.Errorf("%s: %d starts wait, %d were sent", name, len(w.queue), len(w.sent))
@@ -90,22 +90,22 @@
 	}
 }
 
-// The acceptance of a job may come after the word that it is cancelled, over a slow link.
-func TestJobThatComesAfterItsWordIsCancelled(t *testing.T) {
+// The acceptance of a job may come after the news that it is cancelled, over a slow link.
+func TestJobThatComesAfterItsCancellationIsCancelled(t *testing.T) {
 	w := newWorld(t).ready()
 	accepted(t, w.submit("a", "req-free-1", 3, ""))
 	c := New(testSettings("a"), w.cores["a"].policy, "a")
-	c.wordsIn("b", []Word{{Job: "req-free-1", Revision: 99}})
+	c.cancellationsIn("b", []Cancellation{{Job: "req-free-1", Revision: 99}})
 	c.written(w.kv[activeKey("req-free-1")])
 	if j := c.jobs["req-free-1"]; j == nil || !j.Cancelled {
 		t.Errorf("it is taken for a live one: %+v", j)
 	}
 }
 
-// Words that make no sense change nothing, and what comes with them is taken all the same.
-func TestBadWordsAreIgnored(t *testing.T) {
-	good := Word{Job: "req-good-1", Revision: 7}
-	for name, words := range map[string][]Word{
+// Cancellations that make no sense change nothing, and what comes with them is taken all the same.
+func TestBadCancellationsAreIgnored(t *testing.T) {
+	good := Cancellation{Job: "req-good-1", Revision: 7}
+	for name, told := range map[string][]Cancellation{
 		"no id":             {{Job: "../x", Revision: 7}, good},
 		"no revision":       {{Job: "req-free-1"}, good},
 		"job that was done": {{Job: "req-done-1", Revision: 7}, good},
@@ -114,9 +114,9 @@
 	} {
 		c := newWorld(t).cores["a"]
 		c.remember("req-done-1", protocol.JobState{ID: "req-done-1", State: protocol.Done})
-		c.peerIn(PeerIn{Node: "b", Msg: PeerMsg{Words: words}})
+		c.peerIn(PeerIn{Node: "b", Msg: PeerMsg{Cancellations: told}})
 		c.peerIn(PeerIn{Node: "b", Msg: PeerMsg{Known: []string{"req-else-1", good.Job}}})
-		if c.finals["req-done-1"].State != protocol.Done || c.words["req-done-1"] != nil || c.cancelled("req-free-1") || c.cancelled("../x") {
+		if c.finals["req-done-1"].State != protocol.Done || c.broadcasts["req-done-1"] != nil || c.cancelled("req-free-1") || c.cancelled("../x") {
 			t.Errorf("%s: taken", name)
 		}
 		if !c.cancelled(good.Job) {
@@ -124,43 +124,43 @@
 		}
 	}
 	c := newWorld(t).cores["a"]
-	c.peerIn(PeerIn{Node: "b", Msg: PeerMsg{From: "stranger", Words: []Word{good}}})
+	c.peerIn(PeerIn{Node: "b", Msg: PeerMsg{From: "stranger", Cancellations: []Cancellation{good}}})
 	if c.cancelled(good.Job) {
-		t.Error("the word of an unknown node is taken")
+		t.Error("what an unknown node says is taken")
 	}
 }
 
-// However many words come, memory and messages stay bounded.
-func TestWordsAreBounded(t *testing.T) {
+// However many cancellations come, memory and messages stay bounded.
+func TestBroadcastsAreBounded(t *testing.T) {
 	c := newWorld(t).cores["a"]
-	for i := range 2 * maxWords {
-		c.cancelKnown(Word{Job: fmt.Sprintf("req-many-%d", i), Revision: 9})
+	for i := range 2 * maxBroadcasts {
+		c.cancelKnown(Cancellation{Job: fmt.Sprintf("req-many-%d", i), Revision: 9})
 	}
-	if len(c.words) > maxWords || len(c.wordOrder) > maxWords {
-		t.Errorf("%d words are kept", len(c.words))
+	if len(c.broadcasts) > maxBroadcasts || len(c.broadcastOrder) > maxBroadcasts {
+		t.Errorf("%d broadcasts are kept", len(c.broadcasts))
 	}
 	c.peers["b"].connected = true
 	c.effects = nil
 	c.now.Steady = time.Minute
-	c.passOn("b")
-	if m := c.effects[0].(SendPeer); len(m.Msg.Words) != wordsPerMsg {
-		t.Errorf("a message has %d words", len(m.Msg.Words))
+	c.rebroadcast("b")
+	if m := c.effects[0].(SendPeer); len(m.Msg.Cancellations) != cancellationsPerMsg {
+		t.Errorf("a message has %d cancellations", len(m.Msg.Cancellations))
 	}
 	if b := c.signOfLife(); len(b.Owes) != 2 {
-		t.Errorf("it owes words to %v", b.Owes)
+		t.Errorf("it owes news to %v", b.Owes)
 	}
 }
 
 // Where nothing is wrong a cancellation costs one message to each controller, and one back.
-func TestWordsCostNothingWhereAllIsWell(t *testing.T) {
+func TestBroadcastsCostNothingWhereAllIsWell(t *testing.T) {
 	w := idleWorld(t, 20)
 	w.racing, w.taskTime = true, 10*time.Minute
 	accepted(t, w.submit("a", "req-free-1", 40, ""))
 	w.started("req-free-1", 40)
-	words, machines := 0, len(w.workers)
+	messages, machines := 0, len(w.workers)
 	w.tell = func(_ string, e Effect) {
-		if m, is := e.(SendPeer); is && m.Msg.Words != nil {
-			words += len(m.Nodes)
+		if m, is := e.(SendPeer); is && m.Msg.Cancellations != nil {
+			messages += len(m.Nodes)
 		}
 	}
 	w.cancelJob("b", "req-free-1")
@@ -170,12 +170,12 @@
 	}
 	t.Logf("gone after %v", w.now-begin)
 	w.run(2*time.Second, nil)
-	if words != len(w.names)-1 || len(w.workers) != machines {
-		t.Errorf("%d messages, of %d machines %d are left", words, machines, len(w.workers))
+	if messages != len(w.names)-1 || len(w.workers) != machines {
+		t.Errorf("%d messages, of %d machines %d are left", messages, machines, len(w.workers))
 	}
 }
 
-// In a rolling upgrade some controllers know neither words nor what is new in beats:
+// In a rolling upgrade some controllers know neither broadcasts nor what is new in beats:
 // users are told in time all the same, tasks end, and no machine is given back for it.
 func TestOldControllersBesideNewOnes(t *testing.T) {
 	for _, old := range [][]string{{"a"}, {"b", "c"}, {"a", "b", "c", "d"}} {
@@ -224,7 +224,7 @@
 	w.crash("d")
 	w.run(2*time.Second, nil)
 	b := w.cores["b"]
-	if b.words[refusedJob] == nil || b.anotherKnows(b.words[refusedJob]) {
+	if b.broadcasts[refusedJob] == nil || b.anotherKnows(b.broadcasts[refusedJob]) {
 		t.Fatal("b is not the only one that knows")
 	}
 	for _, make1 := range []func(req uint64) Command{
--- a/internal/core/cancels.go
+++ b/internal/core/cancels.go
@@ -27,7 +27,7 @@
 	}
 	id := strings.TrimPrefix(item.Key, keyCancel)
 	c.withdrawn[id] = k.At
-	c.cancelKnown(Word{Job: id, Revision: item.Version, Asked: k.At})
+	c.cancelKnown(Cancellation{Job: id, Revision: item.Version, Asked: k.At})
 	return nil
 }
 
@@ -38,7 +38,7 @@
 	}
 	j.Cancel()
 	j.CancelledAt, j.CancelAsked = c.now.Steady, c.withdrawn[j.ID]
-	if w := c.words[j.ID]; w != nil {
+	if w := c.broadcasts[j.ID]; w != nil {
 		j.CancelledAt, j.CancelAsked = w.at, w.Asked
 	}
 	if !j.InFlight {
@@ -58,7 +58,7 @@
 // not only with another that it awaits.
 func (c *Core) userCancelled(id string) bool {
 	_, withdrawn := c.withdrawn[id]
-	return withdrawn || c.words[id] != nil
+	return withdrawn || c.broadcasts[id] != nil
 }
 
 // stopForOthers stops the cancelled jobs of a team that has its home elsewhere.
@@ -102,7 +102,7 @@
 		return true
 	}
 	verdict, _ := m.Judge(task, b)
-	if verdict == worker.Open && c.words[j.ID] != nil {
+	if verdict == worker.Open && c.broadcasts[j.ID] != nil {
 		_, there := m.Find(task, b.Attempt)
 		fresh := c.hears(m.Node) && c.now.Steady-m.Seen < 2*c.reportInterval()
 		return there || !fresh || c.unaware(j.ID, b.Machine)
@@ -126,7 +126,7 @@
 	// and marked a hundred of them.
 	here, mine := c.now.Steady-j.CancelledAt, c.answersFor(j, machine)
 	if unaware && here > part || mine && c.late(j, part) {
-		c.condemn(machine, unended)
+		c.requestReturn(machine, unended)
 	}
 	if turn := part + c.turnToAct(); c.nobodyRents() && (here > turn || mine && c.late(j, turn)) {
 		c.release(machine)
@@ -155,7 +155,7 @@
 // unaware tells whether a machine's controller is not known to know of a cancellation, so
 // that nobody may be stopping its tasks there.
 func (c *Core) unaware(id, machine string) bool {
-	m, w := c.machines[machine], c.words[id]
+	m, w := c.machines[machine], c.broadcasts[id]
 	return w != nil && (m == nil || !c.knows(m.Node, w))
 }
 
@@ -204,18 +204,18 @@
 	c.sched.giveBack = nil
 }
 
-// condemn asks the renter to give a machine back with all that is on it. Where
+// requestReturn asks the renter to give a machine back with all that is on it. Where
 // the renter can't be told, a mark in the store tells it of a cancelled task: a
 // rule depends on that one, and any controller may write it, since a mark on a
 // machine costs no more than the machine.
-func (c *Core) condemn(machine, why string) {
-	if at, ok := c.sched.condemned[machine]; ok && c.now.Steady-at < c.reportInterval() {
+func (c *Core) requestReturn(machine, why string) {
+	if at, ok := c.sched.returnRequested[machine]; ok && c.now.Steady-at < c.reportInterval() {
 		return
 	}
-	c.sched.condemned[machine] = c.now.Steady
+	c.sched.returnRequested[machine] = c.now.Steady
 	switch _, marked := c.marks[machine]; {
 	case c.fleet.home != "" && c.hears(c.fleet.home):
-		c.tell(c.fleet.home, PeerMsg{Condemn: &Condemn{Machine: machine, Why: why}})
+		c.tell(c.fleet.home, PeerMsg{ReturnRequest: &ReturnRequest{Machine: machine, Why: why}})
 	case why != unheard && !marked:
 		c.log(Info, "machine is marked to be given back", "machine", machine, "why", why)
 		c.txn(protocol.Txn{
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -186,7 +186,7 @@
 // beat answers a worker's report.
 func (c *Core) beat(m Beat) {
 	r := &m.Report
-	if c.term.term == 0 || !c.loaded || c.proof.unsure {
+	if c.term.term == 0 || !c.loaded || c.freshness.unsure {
 		c.unavailable(m.Req)
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,11 +56,11 @@
 	// withdrawn mirrors the cancellations of jobs that are not final, with the time
 	// of day of each.
 	withdrawn map[string]int64
-	// words are the cancellations that are passed on to other controllers, wordOrder
+	// broadcasts are the cancellations that are passed on to other controllers, broadcastOrder
 	// names them from the oldest; untold are those that no user has been told of yet.
-	words     map[string]*word
-	wordOrder []string
-	untold    map[string]*word
+	broadcasts     map[string]*broadcast
+	broadcastOrder []string
+	untold         map[string]*broadcast
 	// goneAt holds the revisions that ended jobs.
 	goneAt  map[string]uint64
 	upgrade upgrade
@@ -90,13 +90,13 @@
 	budget budget
 	asks   asks
 
-	peers   map[string]*peerState
-	storeOK bool
-	proof   proof
-	apart   apart
-	lonely  lonely
-	tally   *tally.Tally
-	counts  Counts
+	peers     map[string]*peerState
+	storeOK   bool
+	freshness freshness
+	partition partition
+	isolation isolation
+	tally     *tally.Tally
+	counts    Counts
 
 	// gate is this site's gateway to others, nil without one.
 	gate *gate
@@ -137,10 +137,10 @@
 		waits: map[uint64]wait{}, nodes: map[string]nodeKey{},
 		teamBy: map[string]*team{}, jobs: map[string]*job.Job{},
 		orphans: map[string]map[job.ChunkKey]protocol.KeyValue{}, marks: map[string]mark{},
-		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, withdrawn: map[string]int64{}, words: map[string]*word{}, untold: map[string]*word{}, goneAt: map[string]uint64{},
+		intents: map[string]*intent{}, finals: map[string]protocol.JobState{}, withdrawn: map[string]int64{}, broadcasts: map[string]*broadcast{}, untold: map[string]*broadcast{}, goneAt: map[string]uint64{},
 		machines: map[string]*worker.Machine{}, ledger: job.NewLedger(), own: map[string]*control{}, decided: map[string]*decisions{}, zoneSeen: map[string]time.Duration{},
 		peers: map[string]*peerState{}, storeOK: true,
-		sites: newSiteRecords(), sched: newSchedState(), rental: newRentState(), spread: newSpread(), term: termState{own: map[uint64]bool{}}, apart: apart{read: map[string]*reading{}}, tally: tally.New(),
+		sites: newSiteRecords(), sched: newSchedState(), rental: newRentState(), spread: newSpread(), term: termState{own: map[uint64]bool{}}, partition: partition{read: map[string]*reading{}}, tally: tally.New(),
 	}
 	for _, t := range cfg.Params.Teams {
 		c.addTeam(&team{Team: t, key: keyHome + teamPart(t.Name), jobs: map[string]*job.Job{}})
@@ -225,7 +225,7 @@
 	case ListIn:
 		c.listIn(m)
 	case CloudHealth:
-		c.proof.trouble = !m.OK
+		c.freshness.trouble = !m.OK
 	case Rented:
 		c.rented(m)
 	case Released:
@@ -270,8 +270,8 @@
 		c.tendHomes()
 	}
 	if c.loaded && c.every(&c.timers.settle, report/3) {
-		c.tendWords()
-		c.tendProof()
+		c.tendBroadcasts()
+		c.tendFreshness()
 		c.settleAll()
 		c.tendControls()
 		c.forgetDecisions()
@@ -279,8 +279,8 @@
 	if c.loaded {
 		c.tendAwaits()
 		c.inheritUrgency()
-		c.tendApart()
-		c.tendLonely()
+		c.tendPartition()
+		c.tendIsolation()
 	}
 	if c.every(&c.timers.catalog, c.catalogInterval()) {
 		c.emit(FetchCatalog{})
--- a/internal/core/dark_test.go
+++ b/internal/core/dark_test.go
@@ -51,7 +51,7 @@
 		}
 		c.tendListed()
 		given := map[string]int{}
-		for id := range c.rental.doomed {
+		for id := range c.rental.returning {
 			given[c.machines[id].Zone]++
 		}
 		if given["z2"] != k.givenB || given["z1"] != 10 {
@@ -67,13 +67,13 @@
 	c.now.Steady += 32 * time.Second
 	c.listIn(ListIn{Machines: []protocol.ListedMachine{{ID: "vm-listed", Zone: "z2", State: protocol.Running}}})
 	for id, given := range map[string]bool{"vm-9015": false, "vm-listed": false, "vm-nobody-knows": true} {
-		c.condemned(Condemn{Machine: id, Why: unheard})
-		if got := c.rental.doomed[id] != ""; got != given {
+		c.returnRequested(ReturnRequest{Machine: id, Why: unheard})
+		if got := c.rental.returning[id] != ""; got != given {
 			t.Errorf("%s: given up %v", id, got)
 		}
 	}
-	c.condemned(Condemn{Machine: "vm-9015", Why: "cancelled task does not end"})
-	if c.rental.doomed["vm-9015"] == "" {
+	c.returnRequested(ReturnRequest{Machine: "vm-9015", Why: "cancelled task does not end"})
+	if c.rental.returning["vm-9015"] == "" {
 		t.Error("a cancelled task is left on a machine of a dark zone")
 	}
 }
--- a/internal/core/endofday_test.go
+++ b/internal/core/endofday_test.go
@@ -15,7 +15,7 @@
 // A machine whose reports arrive while nothing reaches it looked alive: it got tasks again
 // and again, and each was lost with its next lease (docs/endofday.md).
 func TestDeafMachineGetsNoWorkUntilItHears(t *testing.T) {
-	w, _ := apartWorld(t, 10, "req-free-first")
+	w, _ := partitionedWorld(t, 10, "req-free-first")
 	w.noCloud, w.taskTime = true, 5*time.Second
 	w.cancelJob("a", "req-free-first")
 	deaf := slices.Sorted(maps.Keys(w.workers))[:2]
@@ -59,7 +59,7 @@
 
 // One that stays deaf costs money and does nothing: it goes as an idle one does.
 func TestDeafMachineIsGivenBack(t *testing.T) {
-	w, _ := apartWorld(t, 10, "req-free-1")
+	w, _ := partitionedWorld(t, 10, "req-free-1")
 	id := slices.Sorted(maps.Keys(w.workers))[2]
 	w.unhearing[id] = true
 	if !w.run(time.Minute, func() bool { return w.workers[id] == nil }) {
@@ -73,7 +73,7 @@
 // A copy, or a report that was held back, comes to any controller: one that has the machine
 // and four that have not.
 func TestCopyOfAReportChangesNothing(t *testing.T) {
-	w, _ := apartWorld(t, 10, "req-free-1")
+	w, _ := partitionedWorld(t, 10, "req-free-1")
 	f := w.workers[slices.Sorted(maps.Keys(w.workers))[3]]
 	w.run(5*time.Second, nil) // beats have told of all reports
 	node := w.cores["a"].machines[f.Machine].Node
@@ -112,7 +112,7 @@
 
 // A machine that the cloud has taken does not come back by a copy.
 func TestCopyOfAReportBringsNoMachineBack(t *testing.T) {
-	w, _ := apartWorld(t, 10, "req-free-1")
+	w, _ := partitionedWorld(t, 10, "req-free-1")
 	id := slices.Sorted(maps.Keys(w.workers))[3]
 	r := w.snapshot(w.workers[id])
 	w.workers[id].dead = true
@@ -161,7 +161,7 @@
 
 // A controller that had its workers only kept them, unheard by the others, whose renter
 // gave all of them back with what ran on them. One, two, and all but one in that state.
-func TestLonelyControllerSendsItsWorkersOn(t *testing.T) {
+func TestIsolatedControllerSendsItsWorkersOn(t *testing.T) {
 	for _, alone := range []int{1, 2, 4} {
 		t.Run(fmt.Sprint(alone), func(t *testing.T) {
 			t.Parallel()
@@ -208,7 +208,7 @@
 	c := New(testSettings("a"), settings.DefaultPolicy(), "a1")
 	c.loaded, c.storeOK = true, false
 	c.now.Steady = time.Minute
-	c.tendLonely()
+	c.tendIsolation()
 	c.now.Steady += 5 * time.Second
 	away := func(machine, zone string) bool {
 		return c.sendsAway(&protocol.Report{Machine: machine, Zone: zone})
@@ -222,7 +222,7 @@
 		t.Error("not sent on once each with two zones heard")
 	}
 	c.storeOK = true
-	c.tendLonely()
+	c.tendIsolation()
 	if away("vm-3", "z1") {
 		t.Error("sent on although the state service is back")
 	}
--- a/internal/core/blame.go
+++ b/internal/core/failures.go
@@ -40,17 +40,17 @@
 // weigh sets one end against the job or the machine.
 func (c *Core) weigh(j *job.Job, m *worker.Machine, machine string, t protocol.TaskReport) {
 	if t.Why == protocol.WhyDone {
-		m.Blame = nil
+		m.Failures = nil
 		if j.Suspected && c.mine(j) {
 			c.log(Info, "job is no longer suspected of a mistake", "job", j.ID)
 		}
 		j.Succeeded()
 		return
 	}
-	if m.Blame == nil {
-		m.Blame = map[string]int{}
+	if m.Failures == nil {
+		m.Failures = map[string]int{}
 	}
-	m.Blame[j.ID]++
+	m.Failures[j.ID]++
 	if !slices.Contains(j.FailedOn, machine) && len(j.FailedOn) < maxFailedOn {
 		j.FailedOn = append(j.FailedOn, machine)
 	}
@@ -73,7 +73,7 @@
 // that is suspected itself or has ended.
 func (c *Core) faults(m *worker.Machine) int {
 	n := 0
-	for id, failures := range m.Blame {
+	for id, failures := range m.Failures {
 		switch j := c.jobs[id]; {
 		case j == nil || j.Suspected:
 		case j.Proven || j.Done.Len() > 0:
--- a/internal/core/flood_test.go
+++ b/internal/core/flood_test.go
@@ -66,7 +66,7 @@
 	c.comesUp("vm-unheard-of")
 	c.tendListed()
 	for _, id := range []string{"vm-9000", "vm-unheard-of"} {
-		if why := c.rental.doomed[id]; why != "" {
+		if why := c.rental.returning[id]; why != "" {
 			t.Errorf("%s is given up: %s", id, why)
 		}
 		if m := c.machines[id]; m == nil || !c.usable(m) {
--- a/internal/core/proof.go
+++ b/internal/core/freshness.go
@@ -10,10 +10,10 @@
 
 // proof is what tells this node up to when it is sure to know of every cancellation that
 // any controller has confirmed. Two things do: an answer of the state service to a request
-// of its own, once the replica has caught up with it; and the word of every other
+// of its own, once the replica has caught up with it; and the answer of every other
 // controller, in answer to a beat of this node, that it owes this node nothing. Neither
 // compares clocks: what counts is when this node sent its own request or beat.
-type proof struct {
+type freshness struct {
 	// own is when the newest request was sent that proves it, pending one whose answer
 	// the replica has yet to reach.
 	own     time.Duration
@@ -56,23 +56,23 @@
 		return
 	}
 	if r.Revision <= c.revision {
-		c.proof.own = max(c.proof.own, at)
-	} else if c.proof.pending.revision == 0 {
-		c.proof.pending.at, c.proof.pending.revision = at, r.Revision
+		c.freshness.own = max(c.freshness.own, at)
+	} else if c.freshness.pending.revision == 0 {
+		c.freshness.pending.at, c.freshness.pending.revision = at, r.Revision
 	}
 }
 
 // caughtUp notes that the replica has got further.
 func (c *Core) caughtUp() {
-	if p := &c.proof.pending; p.revision > 0 && p.revision <= c.revision {
-		c.proof.own = max(c.proof.own, p.at)
+	if p := &c.freshness.pending; p.revision > 0 && p.revision <= c.revision {
+		c.freshness.own = max(c.freshness.own, p.at)
 		p.revision = 0
 	}
 }
 
 // stamp numbers a beat of this run.
 func (c *Core) stamp() string {
-	p := &c.proof
+	p := &c.freshness
 	p.n++
 	s := fmt.Sprintf("%s.%d", c.inc, p.n)
 	p.sent[p.n%beatsKept] = stamped{s, c.now.Steady}
@@ -80,7 +80,7 @@
 }
 
 // echoes answers the beats of the others, and owed names those of them that this node
-// has words for.
+// has cancellations for.
 func (c *Core) echoes() (out []Echo, owed []string) {
 	for _, node := range c.roster {
 		if p := c.peers[node]; p != nil && p.stamp != "" {
@@ -95,7 +95,7 @@
 
 // owes tells whether a controller is not known to know of some cancellation.
 func (c *Core) owes(node string) bool {
-	for _, w := range c.words {
+	for _, w := range c.broadcasts {
 		if !c.knows(node, w) {
 			return true
 		}
@@ -113,7 +113,7 @@
 		if e.Node != c.cfg.Node {
 			continue
 		}
-		for _, s := range c.proof.sent {
+		for _, s := range c.freshness.sent {
 			if s.stamp == e.Stamp {
 				p.sure = max(p.sure, s.at)
 			}
@@ -127,7 +127,7 @@
 	for _, p := range c.peers {
 		t = min(t, p.sure)
 	}
-	return max(t, c.proof.own)
+	return max(t, c.freshness.own)
 }
 
 // blindTime is for how long a controller may be unsure before its workers have to be left
@@ -150,12 +150,12 @@
 	}
 }
 
-// tendProof turns workers away while a cancellation may have been confirmed that this
+// tendFreshness turns workers away while a cancellation may have been confirmed that this
 // node does not know of and that nobody else can see to: others would have the machines
 // given back, so it does this only while the cloud refuses to act. It must not in a cut
 // zone, whose work it would end, though others can have machines there given back.
-func (c *Core) tendProof() {
-	p, gap := &c.proof, c.now.Steady-c.sureUntil()
+func (c *Core) tendFreshness() {
+	p, gap := &c.freshness, c.now.Steady-c.sureUntil()
 	if gap > c.blindTime()/4 && c.storeOK && c.every(&p.probed, c.reportInterval()) {
 		c.txn(protocol.Txn{If: []protocol.Condition{{Key: keyNode + c.cfg.Node}}}, false, func(StoreReply) {})
 	}
--- a/internal/core/giveback.go
+++ b/internal/core/giveback.go
@@ -50,14 +50,14 @@
 		limit := c.givenUp(l.Type)
 		switch {
 		case l.State == protocol.Failed:
-			c.doom(id, "failed")
+			c.returnMachine(id, "failed")
 		case c.machines[id] != nil || !settled || dark[l.Zone]:
 		case l.State == protocol.Booting && age > limit:
-			if c.doom(id, "does not come up") {
+			if c.returnMachine(id, "does not come up") {
 				c.dud(l)
 			}
 		case l.State != protocol.Booting && c.now.Steady-c.rental.since > limit && age > limit:
-			c.doom(id, "never heard")
+			c.returnMachine(id, "never heard")
 		}
 	}
 	if !settled {
@@ -66,14 +66,14 @@
 	for id, m := range ordered(c.machines) {
 		switch quiet := c.now.Steady - m.Seen; {
 		case m.NoticeAt > 0 && c.now.Steady > m.NoticeAt+c.reportInterval()/4:
-			c.doom(id, "taken back")
+			c.returnMachine(id, "taken back")
 		case quiet > c.silence() && c.everyoneReached() && !(dark[m.Zone] && quiet < darkPatience*seconds(c.cfg.Params.Workers.LeaseS)):
-			c.doom(id, "silent")
+			c.returnMachine(id, "silent")
 		case quiet > 2*c.reportInterval() && c.unlisted(id):
-			c.doom(id, "no longer listed")
+			c.returnMachine(id, "no longer listed")
 		}
 		if c.faults(m) >= guiltyAt {
-			c.doom(id, "tasks fail on it")
+			c.returnMachine(id, "tasks fail on it")
 		}
 	}
 }
@@ -122,14 +122,14 @@
 	return controllers > 0 && zone != c.cfg.Zone && c.now.Steady-c.zoneSeen[zone] > 2*c.reportInterval()
 }
 
-// doom has a machine released with all that is on it, and tells whether that is
+// returnMachine has a machine released with all that is on it, and tells whether that is
 // new.
-func (c *Core) doom(id, why string) bool {
-	if c.marks[id].Gone || c.rental.doomed[id] != "" {
+func (c *Core) returnMachine(id, why string) bool {
+	if c.marks[id].Gone || c.rental.returning[id] != "" {
 		return false
 	}
 	c.log(Info, "machine given up", "machine", id, "why", why)
-	c.rental.doomed[id], c.rental.closing[id] = why, c.now.Steady
+	c.rental.returning[id], c.rental.closing[id] = why, c.now.Steady
 	return true
 }
 
@@ -141,9 +141,9 @@
 	return !listed && c.rental.listAt-c.cameAt(id) > 3*seconds(c.cfg.Params.Cloud.ListLagS)
 }
 
-func (c *Core) condemned(m Condemn) {
+func (c *Core) returnRequested(m ReturnRequest) {
 	if c.fleet.acting && (m.Why != unheard || !c.mayReturn(m.Machine)) {
-		c.doom(m.Machine, m.Why)
+		c.returnMachine(m.Machine, m.Why)
 	}
 }
 
@@ -164,7 +164,7 @@
 	for id, m := range ordered(c.machines) {
 		if !c.boundLoad(m).Fits(job.Resources{}) {
 			m.IdleSince = c.now.Steady
-		} else if c.now.Steady-m.IdleSince > c.idleTime(m) && !c.sched.aside.hosts[id] {
+		} else if c.now.Steady-m.IdleSince > c.idleTime(m) && !c.sched.reserved.hosts[id] {
 			c.closeMachine(id, "idle")
 		}
 	}
@@ -196,18 +196,18 @@
 	})
 }
 
-// tendClosing releases closed machines that nothing is bound to, and doomed
+// tendClosing releases closed machines that nothing is bound to, and returning
 // ones whatever is bound to them. Doomed ones need no mark first: what is bound
 // to them meanwhile is bound to a machine that is gone. So a cancelled task is
 // ended in time even while the state service is down.
 func (c *Core) tendClosing() {
 	var names []string
 	due := maps.Clone(c.marks)
-	for id := range c.rental.doomed {
+	for id := range c.rental.returning {
 		due[id] = c.marks[id]
 	}
 	for _, id := range slices.Sorted(maps.Keys(due)) {
-		if c.marks[id].Gone || c.bound(id) && c.rental.doomed[id] == "" && c.marks[id].Why == "idle" {
+		if c.marks[id].Gone || c.bound(id) && c.rental.returning[id] == "" && c.marks[id].Why == "idle" {
 			continue
 		}
 		if at, ok := c.rental.releasing[id]; ok && c.now.Steady-at < c.silence() {
@@ -251,10 +251,10 @@
 					delete(c.rental.releasing, id)
 					continue
 				}
-				c.log(Info, "machine returned", "machine", id, "why", cmp.Or(c.rental.doomed[id], c.marks[id].Why))
+				c.log(Info, "machine returned", "machine", id, "why", cmp.Or(c.rental.returning[id], c.marks[id].Why))
 				c.marked(id, mark{Gone: true, version: r.Revision})
 				delete(c.rental.closing, id)
-				delete(c.rental.doomed, id)
+				delete(c.rental.returning, id)
 			}
 		})
 	}
--- a/internal/core/lonely.go
+++ b/internal/core/isolation.go
@@ -15,30 +15,30 @@
 // In a zone that is cut off it must not: there its workers have nowhere to go, and
 // looking for it would cost them their leases. What tells the two apart is that machines
 // of a second zone go on reporting here.
-type lonely struct {
+type isolation struct {
 	since time.Duration
 	zones map[string]bool
 	sent  map[string]bool
 }
 
-// tendLonely follows whether this node is alone.
-func (c *Core) tendLonely() {
+// tendIsolation follows whether this node is alone.
+func (c *Core) tendIsolation() {
 	alone := !c.storeOK && len(c.peers) > 0
 	for node := range c.peers {
 		alone = alone && !c.hears(node)
 	}
-	switch l := &c.lonely; {
+	switch l := &c.isolation; {
 	case !alone:
-		c.lonely = lonely{}
+		c.isolation = isolation{}
 	case l.zones == nil:
 		c.log(Info, "neither the state service nor another controller is heard", "does", "sends workers on, once each, if more than one zone reports here")
-		c.lonely = lonely{since: c.now.Steady, zones: map[string]bool{}, sent: map[string]bool{}}
+		c.isolation = isolation{since: c.now.Steady, zones: map[string]bool{}, sent: map[string]bool{}}
 	}
 }
 
 // sendsAway tells whether a worker is to look for another controller.
 func (c *Core) sendsAway(r *protocol.Report) bool {
-	l := &c.lonely
+	l := &c.isolation
 	if l.zones == nil || c.now.Steady-l.since < c.reportInterval() {
 		return false
 	}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -197,7 +197,7 @@
 	}
 	c.undo(u)
 	if slices.Contains(failed, cancelKey(j.ID)) {
-		c.cancelKnown(Word{Job: j.ID, Revision: r.Revision})
+		c.cancelKnown(Cancellation{Job: j.ID, Revision: r.Revision})
 	}
 	if slices.Contains(failed, awayKey(j.ID)) {
 		c.handedOff(j)
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -55,7 +55,7 @@
 		rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 		c.listIn(ListIn{Machines: all[:rng.IntN(fleet)]})
 		c.tendListed()
-		if n := len(c.rental.doomed); n > 0 {
+		if n := len(c.rental.returning); n > 0 {
 			t.Fatalf("round %d: %d machines are given up", round, n)
 		}
 		c.now.Steady += 2 * report
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -219,7 +219,7 @@
 		met = true
 		r := w.decide(protocol.Txn{If: []protocol.Condition{{Key: keyState + id}},
 			Then: []protocol.Change{put(keyState+id, stateKey{State: protocol.Cancelled}), put(cancelKey(id), cancelMark{})}})
-		w.send(home, PeerIn{Node: w.notHome(home), Msg: PeerMsg{Words: []Word{{Job: id, Revision: r.Revision}}}})
+		w.send(home, PeerIn{Node: w.notHome(home), Msg: PeerMsg{Cancellations: []Cancellation{{Job: id, Revision: r.Revision}}}})
 	}
 	accepted(t, w.submit("a", id, 40, ""))
 	if !w.run(20*time.Second, func() bool { return met }) {
@@ -405,7 +405,7 @@
 		for _, to := range five {
 			t.Run(name+", to "+to, func(t *testing.T) {
 				t.Parallel()
-				w, _ := apartWorld(t, 10, "req-free-1")
+				w, _ := partitionedWorld(t, 10, "req-free-1")
 				w.started("req-free-1", 20)
 				w.run(3*time.Second, nil)
 				f := w.workers[slices.Sorted(maps.Keys(w.workers))[3]]
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -218,20 +218,20 @@
 // PeerMsg is what controllers say to one another. Besides the addresses exactly
 // one field is set. To and From are given when a third node passes it on.
 type PeerMsg struct {
-	To           string             `json:"to,omitempty"`
-	From         string             `json:"from,omitempty"`
-	Observations []Observation      `json:"o,omitempty"`
-	Accepted     *protocol.KeyValue `json:"j,omitempty"`
-	Claims       []Claim            `json:"k,omitempty"`
-	Start        *Start             `json:"s,omitempty"`
-	Refusal      *Refusal           `json:"r,omitempty"`
-	Order        *Order             `json:"c,omitempty"`
-	Fence        *Fence             `json:"f,omitempty"`
-	Condemn      *Condemn           `json:"x,omitempty"`
-	Beat         *NodeBeat          `json:"b,omitempty"`
-	Site         *SiteNote          `json:"g,omitempty"`
-	Words        []Word             `json:"w,omitempty"`
-	Known        []string           `json:"a,omitempty"`
+	To            string             `json:"to,omitempty"`
+	From          string             `json:"from,omitempty"`
+	Observations  []Observation      `json:"o,omitempty"`
+	Accepted      *protocol.KeyValue `json:"j,omitempty"`
+	Claims        []Claim            `json:"k,omitempty"`
+	Start         *Start             `json:"s,omitempty"`
+	Refusal       *Refusal           `json:"r,omitempty"`
+	Order         *Order             `json:"c,omitempty"`
+	Fence         *Fence             `json:"f,omitempty"`
+	ReturnRequest *ReturnRequest     `json:"x,omitempty"`
+	Beat          *NodeBeat          `json:"b,omitempty"`
+	Site          *SiteNote          `json:"g,omitempty"`
+	Cancellations []Cancellation     `json:"w,omitempty"`
+	Known         []string           `json:"a,omitempty"`
 }
 
 // SiteNote is what controllers say to one another about the gateway. One of its
@@ -342,8 +342,8 @@
 	Above   uint64 `json:"k"`
 }
 
-// Condemn asks the renter to give a machine back with all that is on it.
-type Condemn struct {
+// ReturnRequest asks the renter to give a machine back with all that is on it.
+type ReturnRequest struct {
 	Machine string `json:"m"`
 	Why     string `json:"w"`
 }
@@ -361,7 +361,7 @@
 	// Seqs are the sequence numbers of their newest reports, in the same order.
 	Seqs []uint64 `json:"q,omitempty"`
 	// Stamp tells this beat from others, Echoes are the newest beats of the others that
-	// came here, Owes names those to whom this node has words to pass on.
+	// came here, Owes names those to whom this node has cancellations to pass on.
 	Stamp  string   `json:"n,omitempty"`
 	Echoes []Echo   `json:"e,omitempty"`
 	Owes   []string `json:"w,omitempty"`
--- a/internal/core/mute_test.go
+++ b/internal/core/mute_test.go
@@ -93,7 +93,7 @@
 
 // For less than its lease a machine may reach nobody and lose nothing: it can be asked.
 func TestMuteMachineKeepsItsTasksForItsLease(t *testing.T) {
-	w, _ := apartWorld(t, 20, muteJob)
+	w, _ := partitionedWorld(t, 20, muteJob)
 	w.started(muteJob, 40)
 	mute := w.silence(5)
 	before := w.tasksOn(mute)
@@ -131,7 +131,7 @@
 // What is cancelled is stopped by direct calls, and no machine is given back for it.
 func TestCancelledTasksOnMuteMachinesAreStoppedAtOnce(t *testing.T) {
 	for name, wait := range map[string]time.Duration{"just mute": 0, "mute for a while": reports(3)} {
-		w, _ := apartWorld(t, 20, muteJob)
+		w, _ := partitionedWorld(t, 20, muteJob)
 		mute := w.silence(4)
 		w.run(wait, nil)
 		if w.tasksOn(mute) == 0 {
@@ -247,7 +247,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w, _ := apartWorld(t, 10, muteJob)
+			w, _ := partitionedWorld(t, 10, muteJob)
 			w.started(muteJob, 20)
 			w.run(3*time.Second, nil)
 			ids := slices.Sorted(maps.Keys(w.workers))
--- a/internal/core/apart.go
+++ b/internal/core/partition.go
@@ -15,7 +15,7 @@
 
 // apart is how this node gets on with live controllers that it cannot hear, or that
 // cannot hear it: by bulletins in the state service (docs/apart.md).
-type apart struct {
+type partition struct {
 	// next is when the bulletin is looked at again, acted when starts last were.
 	next, acted time.Duration
 	board       bulletin.Board
@@ -67,8 +67,8 @@
 	return p != nil && live && (slices.Contains(p.misses, c.cfg.Node) || !c.hears(node))
 }
 
-// isApart tells whether that is so of any controller.
-func (c *Core) isApart() bool {
+// partitioned tells whether that is so of any controller.
+func (c *Core) partitioned() bool {
 	for node := range c.nodes {
 		if c.cutFrom(node) {
 			return true
@@ -83,7 +83,7 @@
 	if c.hears(node) {
 		return true
 	}
-	r := c.apart.read[node]
+	r := c.partition.read[node]
 	return r != nil && c.misses(node) && c.now.Steady-r.at < c.reportInterval()+2*c.boardInterval()
 }
 
@@ -93,7 +93,7 @@
 	if c.hears(node) {
 		return true
 	}
-	r := c.apart.read[node]
+	r := c.partition.read[node]
 	return c.reaches(node) && r.namesMachines()
 }
 
@@ -113,10 +113,10 @@
 	return t != nil && !t.acting && c.cutFrom(t.home)
 }
 
-// tendApart starts, forgets and publishes for homes that this node is cut from.
-func (c *Core) tendApart() {
-	apart := c.isApart()
-	if apart && c.every(&c.apart.acted, c.reportInterval()/30) {
+// tendPartition starts, forgets and publishes for homes that this node is cut from.
+func (c *Core) tendPartition() {
+	split := c.partitioned()
+	if split && c.every(&c.partition.acted, c.reportInterval()/30) {
 		for id, w := range ordered(c.own) {
 			if m := c.machines[id]; m != nil && m.Node == c.cfg.Node {
 				c.startFor(id, w, m)
@@ -124,14 +124,14 @@
 			}
 		}
 	}
-	if !c.every(&c.apart.next, c.boardInterval()) || c.apart.busy || c.lease == 0 {
+	if !c.every(&c.partition.next, c.boardInterval()) || c.partition.busy || c.lease == 0 {
 		return
 	}
 	var want map[string]json.RawMessage
-	if apart {
+	if split {
 		want = bulletin.Pages(c.boardBeat(), c.facts(), c.heard(), c.pageSize())
 	}
-	c.publish(c.apart.board.Diff(want, c.pagesPerTxn()))
+	c.publish(c.partition.board.Diff(want, c.pagesPerTxn()))
 }
 
 // pageSize is the most bytes that a page of a bulletin has. Several fit into one
@@ -279,11 +279,11 @@
 			txn.Then = append(txn.Then, protocol.Change{Put: key, Value: ch.Value, Lease: c.lease})
 		}
 	}
-	c.apart.busy = true
+	c.partition.busy = true
 	c.txn(txn, true, func(r StoreReply) {
-		c.apart.busy = false
+		c.partition.busy = false
 		if r.Outcome == Applied {
-			c.apart.board.Wrote(changes, r.Revision)
+			c.partition.board.Wrote(changes, r.Revision)
 		}
 	})
 }
@@ -292,7 +292,7 @@
 func (c *Core) pageWritten(item protocol.KeyValue) error {
 	node, name, _ := strings.Cut(strings.TrimPrefix(item.Key, keyBoard), "/")
 	if node == c.cfg.Node {
-		c.apart.board.Saw(name, item.Value, item.Version)
+		c.partition.board.Saw(name, item.Value, item.Version)
 	}
 	if c.peers[node] == nil {
 		return nil
@@ -301,10 +301,10 @@
 	if err := json.Unmarshal(item.Value, page); err != nil {
 		return err
 	}
-	r := c.apart.read[node]
+	r := c.partition.read[node]
 	if r == nil {
 		r = &reading{pages: map[string]*bulletin.Page{}}
-		c.apart.read[node] = r
+		c.partition.read[node] = r
 	}
 	r.pages[name] = page
 	if page.Beat != nil {
@@ -325,9 +325,9 @@
 func (c *Core) pageDropped(key string, revision uint64) {
 	node, name, _ := strings.Cut(strings.TrimPrefix(key, keyBoard), "/")
 	if node == c.cfg.Node {
-		c.apart.board.Saw(name, nil, revision)
+		c.partition.board.Saw(name, nil, revision)
 	}
-	if r := c.apart.read[node]; r != nil {
+	if r := c.partition.read[node]; r != nil {
 		delete(r.pages, name)
 	}
 }
@@ -403,7 +403,7 @@
 // readAgain applies the facts of all bulletins once more: this node may have become a
 // home since they were written.
 func (c *Core) readAgain() {
-	for _, r := range ordered(c.apart.read) {
+	for _, r := range ordered(c.partition.read) {
 		for _, p := range ordered(r.pages) {
 			if err := c.factsRead(p); err != nil {
 				c.log(Error, "bulletin is not understood", "error", err.Error())
--- a/internal/core/apart_test.go
+++ b/internal/core/partition_test.go
@@ -26,9 +26,9 @@
 	return w
 }
 
-// apartWorld has five controllers, that many machines, and an array of long tasks
+// partitionedWorld has five controllers, that many machines, and an array of long tasks
 // that fills them.
-func apartWorld(t *testing.T, machines int, id string) (w *world, home string) {
+func partitionedWorld(t *testing.T, machines int, id string) (w *world, home string) {
 	t.Helper()
 	w = idleWorld(t, machines)
 	w.racing, w.taskTime = true, 10*time.Minute
@@ -86,7 +86,7 @@
 				if name == "all links" {
 					machines = 200
 				}
-				w, home := apartWorld(t, machines, "req-free-1")
+				w, home := partitionedWorld(t, machines, "req-free-1")
 				cut(w, home)
 				w.run(2*time.Second, nil)
 				if a := w.cancelJob(w.informed(), "req-free-1"); a.Status != 200 {
@@ -135,7 +135,7 @@
 // A machine that reaches no controller ends its tasks with its lease, also where the
 // cloud does not take it back.
 func TestMachineThatHearsNobodyIsCoveredByItsLease(t *testing.T) {
-	w, _ := apartWorld(t, 20, "req-free-1")
+	w, _ := partitionedWorld(t, 20, "req-free-1")
 	w.noCloud = true
 	for _, f := range w.workers {
 		w.unreached[f.Machine] = true
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -175,16 +175,16 @@
 		c.order(*m.Order)
 	case m.Fence != nil:
 		c.fence(*m.Fence)
-	case m.Condemn != nil:
-		c.condemned(*m.Condemn)
+	case m.ReturnRequest != nil:
+		c.returnRequested(*m.ReturnRequest)
 	case m.Beat != nil:
 		c.nodeBeatIn(from, *m.Beat)
 	case m.Site != nil:
 		c.siteNote(from, *m.Site)
-	case m.Words != nil:
-		c.wordsIn(from, m.Words)
+	case m.Cancellations != nil:
+		c.cancellationsIn(from, m.Cancellations)
 	case m.Known != nil:
-		c.knownIn(from, m.Known)
+		c.acknowledgedIn(from, m.Known)
 	}
 }
 
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -25,9 +25,9 @@
 	// listAt is when that list came.
 	listAt time.Duration
 	// blocked remembers refusals per type, zone and kind.
-	blocked map[offerKey]pause
-	doomed  map[string]string
-	boots   boots
+	blocked   map[offerKey]pause
+	returning map[string]string
+	boots     boots
 	// dark holds the zones that were cut off when they were last judged.
 	dark map[string]bool
 	// since is when this node became the renter.
@@ -42,7 +42,7 @@
 func newRentState() rentState {
 	return rentState{closing: map[string]time.Duration{}, releasing: map[string]time.Duration{},
 		listed: map[string]protocol.ListedMachine{}, came: map[string]time.Duration{},
-		blocked: map[offerKey]pause{}, doomed: map[string]string{}, boots: newBoots()}
+		blocked: map[offerKey]pause{}, returning: map[string]string{}, boots: newBoots()}
 }
 
 // reset starts the renter's part over.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -63,10 +63,10 @@
 	for key := range c.sites.versions {
 		out[key] = true
 	}
-	for _, page := range c.apart.board.Pages() {
+	for _, page := range c.partition.board.Pages() {
 		out[pageKey(c.cfg.Node, page)] = true
 	}
-	for node, r := range c.apart.read {
+	for node, r := range c.partition.read {
 		for page := range r.pages {
 			out[pageKey(node, page)] = true
 		}
@@ -292,7 +292,7 @@
 		clear(c.goneAt)
 	}
 	c.goneAt[id] = revision
-	delete(c.words, id)
+	delete(c.broadcasts, id)
 }
 
 // remember caches a final state, which never changes.
--- a/internal/core/aside.go
+++ b/internal/core/reservations.go
@@ -16,7 +16,7 @@
 // asks for them, and some room for the next services, which neither wait for a boot
 // nor give their room back soon. All controllers set the same room aside, since they
 // mirror the same jobs and machines.
-type aside struct {
+type reservations struct {
 	// wanted is how many machines of a type the work that asks for accelerators uses at
 	// its peak, spot whether it may use spot ones; peaks are by type.
 	wanted map[string]int
@@ -34,9 +34,9 @@
 // peakLeases is the window of the peak of accelerator work, in leases of a worker.
 const peakLeases = 10
 
-// weighAside sums up the jobs that room is set aside for, and tells whether any is.
-func (c *Core) weighAside() bool {
-	a := &c.sched.aside
+// weighReservations sums up the jobs that room is set aside for, and tells whether any is.
+func (c *Core) weighReservations() bool {
+	a := &c.sched.reserved
 	need := map[string]float64{}
 	a.spot, a.services, a.images = map[string]bool{}, map[string]*headroom.Class{}, map[string]map[string]bool{}
 	for _, j := range c.jobs {
@@ -91,25 +91,25 @@
 	return best
 }
 
-// setAside marks the hosts that are set aside in this round.
-func (c *Core) setAside(hosts []*placement.Host) {
-	a := &c.sched.aside
+// reserve marks the hosts that are set aside in this round.
+func (c *Core) reserve(hosts []*placement.Host) {
+	a := &c.sched.reserved
 	a.hosts, a.short = map[string]bool{}, false
 	for t, n := range ordered(a.wanted) {
-		c.setAsideGPUs(t, n, hosts)
+		c.reserveForGPUs(t, n, hosts)
 	}
 	for class, s := range ordered(a.services) {
-		c.setAsideServices(s, a.images[class], hosts)
+		c.reserveForServices(s, a.images[class], hosts)
 	}
 }
 
-// setAsideGPUs keeps the n hosts of a type that other work uses least free of it. Tasks
+// reserveForGPUs keeps the n hosts of a type that other work uses least free of it. Tasks
 // that need no accelerators but run for long used to settle on the only machines that
 // gangs fit on: every third replica was there, and half of the gangs never started.
-func (c *Core) setAsideGPUs(typ string, n int, hosts []*placement.Host) {
+func (c *Core) reserveForGPUs(typ string, n int, hosts []*placement.Host) {
 	var of []*placement.Host
 	for _, h := range hosts {
-		if h.Type == typ && (!h.Spot || c.sched.aside.spot[typ]) {
+		if h.Type == typ && (!h.Spot || c.sched.reserved.spot[typ]) {
 			of = append(of, h)
 		}
 	}
@@ -122,15 +122,15 @@
 	slices.SortStableFunc(of, func(a, b *placement.Host) int { return cmp.Compare(others(a), others(b)) })
 	for _, h := range of[:min(n, len(of))] {
 		h.ForGPUs = true
-		c.sched.aside.hosts[h.ID] = true
+		c.sched.reserved.hosts[h.ID] = true
 	}
 }
 
-// setAsideServices keeps room for the next replicas of a class: for two of its largest
+// reserveForServices keeps room for the next replicas of a class: for two of its largest
 // jobs, and for one of each image where that image is, since a replica has no time to
 // fetch one. Only where there is too little are arrays left to end for it, and machines
 // asked for.
-func (c *Core) setAsideServices(s *headroom.Class, images map[string]bool, hosts []*placement.Host) {
+func (c *Core) reserveForServices(s *headroom.Class, images map[string]bool, hosts []*placement.Host) {
 	spare := s.Spare() + c.misplaced(s.Spec.Class, hosts)
 	able := c.rooms(s.Spec, hosts)
 	now := slices.DeleteFunc(slices.Clone(able), func(r room) bool { return r.ending > 0 })
@@ -219,7 +219,7 @@
 			if i < len(of) && n > 0 {
 				found = true
 				of[i].host.ForServices = true
-				c.sched.aside.hosts[of[i].host.ID] = true
+				c.sched.reserved.hosts[of[i].host.ID] = true
 				n -= of[i].slots
 			}
 		}
@@ -231,7 +231,7 @@
 // accelerator work, while such work waits and there is room for them elsewhere. They
 // had settled there before anything that needs the accelerators was known.
 func (c *Core) vacate(hosts []*placement.Host) {
-	if !c.sched.aside.short || !c.every(&c.timers.vacate, c.reportInterval()) {
+	if !c.sched.reserved.short || !c.every(&c.timers.vacate, c.reportInterval()) {
 		return
 	}
 	for _, h := range hosts {
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -22,10 +22,10 @@
 	dirty bool
 	next  time.Duration
 	// storeAfter holds back the storing of jobs after a refusal.
-	storeAfter time.Duration
-	deliver    map[string]bool
-	asked      map[string]bool
-	condemned  map[string]time.Duration
+	storeAfter      time.Duration
+	deliver         map[string]bool
+	asked           map[string]bool
+	returnRequested map[string]time.Duration
 	// released is when this node last gave a machine back without a renter, returned
 	// holds those that the cloud has taken, giveBack those to ask for next.
 	released map[string]time.Duration
@@ -51,11 +51,11 @@
 	keptFor   map[string]job.Resources
 	keptNeeds map[job.Resources]bool
 	cheap     map[bool][]*placement.Host
-	aside     aside
+	reserved  reservations
 }
 
 func newSchedState() schedState {
-	return schedState{deliver: map[string]bool{}, asked: map[string]bool{}, condemned: map[string]time.Duration{},
+	return schedState{deliver: map[string]bool{}, asked: map[string]bool{}, returnRequested: map[string]time.Duration{},
 		released: map[string]time.Duration{}, returned: map[string]bool{}}
 }
 
@@ -271,7 +271,7 @@
 	c.sched.unplaced, c.sched.starved, c.sched.stuck, c.sched.cheap = nil, nil, nil, nil
 	c.sched.kept, c.sched.wanting = c.sched.kept[:0], nil
 	turns, ranked := c.turns()
-	if !c.weighAside() && len(turns) == 0 {
+	if !c.weighReservations() && len(turns) == 0 {
 		return
 	}
 	if c.urgentWaits(turns) {
@@ -284,7 +284,7 @@
 	}
 	c.sched.keptFor = map[string]job.Resources{}
 	placement.Drain(hosts, c.policy.Spare)
-	c.setAside(hosts)
+	c.reserve(hosts)
 	c.holdForGangs(turns, hosts)
 	c.place(turns, ranked, placement.Open(hosts))
 	c.keepHosts()
@@ -485,7 +485,7 @@
 
 // unplaced notes demand of n tasks for the renting of machines, up to the team's limit.
 func (c *Core) unplaced(u *turn, j *job.Job, n int) {
-	c.sched.aside.short = c.sched.aside.short || j.Need.GPUs > 0
+	c.sched.reserved.short = c.sched.reserved.short || j.Need.GPUs > 0
 	right := c.rightOf(u, j)
 	if right == fleet.Idle {
 		n = c.worth(j, n)
--- a/internal/core/served.go
+++ b/internal/core/served.go
@@ -21,7 +21,7 @@
 }
 
 func (c *Core) served() ServedRows {
-	return ServedRows{Rows: c.tally.Rows(c.now.Steady), Unanswered: c.tally.Longest(), Owed: c.owedWords(),
+	return ServedRows{Rows: c.tally.Rows(c.now.Steady), Unanswered: c.tally.Longest(), Owed: c.unacknowledged(),
 		Unsure: c.now.Steady - c.sureUntil(), Waiting: c.waiting(), Counts: c.counts}
 }
 
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -278,7 +278,7 @@
 	}
 	m := c.machines[b.Machine]
 	if c.unheardOf(m, b) {
-		c.condemn(b.Machine, unheard)
+		c.requestReturn(b.Machine, unheard)
 	}
 	if m == nil {
 		return
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -290,7 +290,7 @@
 		switch r.Outcome {
 		case Applied:
 			c.log(Debug, "job cancelled", "job", m.ID)
-			c.cancelKnown(Word{Job: m.ID, Revision: r.Revision, Asked: c.now.Wall})
+			c.cancelKnown(Cancellation{Job: m.ID, Revision: r.Revision, Asked: c.now.Wall})
 			c.announceCancel(m.ID)
 			c.inquire(m.ID, func(f finding, s protocol.JobState) { c.found(m.Req, f, s) })
 		case Conflict:
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -31,8 +31,8 @@
 	Exits  int
 	Bytes  int
 	images map[string]image
-	// Blame counts the failures of each job on it since any task succeeded.
-	Blame map[string]int
+	// Failures counts those of each job on it since any task succeeded.
+	Failures map[string]int
 
 	hearing
 	// ran is when each task of the report was first seen running.
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -542,7 +542,7 @@
 
 // asOld is what a controller of the release before makes of a message, or sends.
 func asOld(m PeerMsg) PeerMsg {
-	m.Words, m.Known = nil, nil
+	m.Cancellations, m.Known = nil, nil
 	if b := m.Beat; b != nil {
 		m.Beat = &NodeBeat{StoreOK: b.StoreOK, Due: b.Due, Records: b.Records, Heard: b.Heard, Seqs: b.Seqs, Misses: b.Misses}
 	}
