Test that answers on waiting jobs are no older than their questions

Three mutants passed the tests: no wait for the replica's revision, none for what became of an awaited job, no cancellation at arrival. Each has a test that first asserts that the meeting took place.

--- a/internal/core/awaits_test.go
+++ b/internal/core/awaits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -303,6 +304,103 @@
 	}
 }
 
+// A controller whose replica is behind, and that hears nobody, does not call a job queued of
+// which another one may already have said that it is cancelled with what it awaits.
+func TestAnswerOnAWaitingJobIsNoOlderThanItsQuestion(t *testing.T) {
+	w := idleWorld(t, 10)
+	w.taskTime = 5 * time.Minute
+	accepted(t, w.submit("a", "req-free-1", 2, ""))
+	accepted(t, w.submit("b", "req-blue-1", 2, awaiting("req-free-1")))
+	accepted(t, w.submit("b", "req-blue-2", 2, awaiting("req-blue-1")))
+	w.started("req-free-1", 2)
+	behind := ""
+	for _, node := range w.names {
+		if node != w.homeOf("free") && node != w.homeOf("blue") {
+			behind = node
+		}
+	}
+	w.slowWatcher = behind
+	w.refuse(func(f, to string) bool { return f == behind || to == behind })
+	if a := w.cancelJob(w.homeOf("free"), "req-free-1"); a.Status != http.StatusOK {
+		t.Fatalf("cancellation got %d", a.Status)
+	}
+	c := w.cores[behind]
+	if c.jobs["req-blue-2"] == nil || c.cancelled("req-free-1") {
+		t.Fatal("the controller is not behind")
+	}
+	for range 5 {
+		if got := w.stance(behind, "req-blue-2"); got != "" && got != protocol.Cancelled {
+			t.Fatalf("it is %s, by a controller that has not heard of the cancellation", got)
+		}
+	}
+	w.slowWatcher = ""
+	w.restore()
+	w.run(5*time.Second, nil)
+	if got := w.stance(behind, "req-blue-2"); got != protocol.Cancelled {
+		t.Errorf("it is %q once its replica has caught up", got)
+	}
+}
+
+// What a job awaits has ended before any controller had read the stored state: each of them
+// reads what became of it before it answers.
+func TestAnswerWaitsForWhatBecameOfTheAwaitedJob(t *testing.T) {
+	w := idleWorld(t, 10)
+	w.taskTime = time.Second
+	for _, id := range []string{"req-free-1", "req-free-2"} {
+		accepted(t, w.submit("a", id, 1, ""))
+	}
+	w.cancelJob("b", "req-free-1")
+	if !w.run(time.Minute, func() bool { return w.finished("req-free-2")() && w.kv[activeKey("req-free-1")].Version == 0 }) {
+		t.Fatal("jobs do not end")
+	}
+	w.allAway(time.Second)
+	w.recover()
+	w.ready()
+	for id, want := range map[string]string{"req-free-1": protocol.Cancelled, "req-free-2": protocol.Queued} {
+		waits := "req-blue-after-" + id
+		s, err := job.Parse([]byte(submission(waits, "blue", 1, awaiting(id)+`,"vcpus":4.0,"builds":["none"]`)), protocol.MaxBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.change(protocol.Change{Put: activeKey(waits), Value: job.New(*s, w.cores["a"].chunkSize(), 0).Head()})
+		w.step("a")
+		for _, node := range w.names {
+			if got := w.stance(node, waits); got != "" && got != want {
+				t.Errorf("%s says that %s is %s, want %s", node, waits, got, want)
+			}
+		}
+		w.run(3*time.Second, nil)
+		if got := w.stance("c", waits); got != want {
+			t.Errorf("%s is %q, want %s", waits, got, want)
+		}
+	}
+}
+
+// A job that names one whose cancellation is known, but whose tasks have not ended yet.
+func TestJobThatAwaitsOneThatIsEndingIsCancelled(t *testing.T) {
+	w := idleWorld(t, 10)
+	w.racing, w.taskTime, w.noCloud = true, 5*time.Minute, true
+	accepted(t, w.submit("a", "req-free-1", 2, ""))
+	w.started("req-free-1", 2)
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		if len(w.workers[id].Tasks) > 0 {
+			w.hang(id, 12*time.Second)
+		}
+	}
+	w.cancelJob("a", "req-free-1")
+	w.run(2*time.Second, nil)
+	accepted(t, w.submit("c", "req-blue-1", 1, awaiting("req-free-1")))
+	w.run(2*time.Second, nil)
+	for _, node := range w.names {
+		if got := w.stance(node, "req-blue-1"); got != protocol.Cancelled {
+			t.Errorf("%s says that it is %q", node, got)
+		}
+	}
+	if w.kv[activeKey("req-free-1")].Version == 0 {
+		t.Fatal("the awaited job has ended by then")
+	}
+}
+
 // The limits become lower while a transaction on a job in large chunks has no answer, and all
 // is stored within the lower ones from then on; the job ends, and no key of it is left.
 func TestLimitsBecomeLowerAmidAWrite(t *testing.T) {
