Store the ends of a cascade after all starts

Cause: a cancellation that takes hundreds of waiting jobs with it had their ends stored first, at two changes each, as if users waited for them; every answer is derived without. The new test began the next job after most of the cascade. Change: what was cancelled before it could begin is stored with the lowest rank.

--- a/internal/core/awaits_test.go
+++ b/internal/core/awaits_test.go
@@ -376,6 +376,29 @@
 	}
 }
 
+// A wide cascade does not hold up what starts: nobody waits for its stored ends.
+func TestCascadeLetsStartsPass(t *testing.T) {
+	w := idleWorld(t, 20)
+	w.racing, w.taskTime = true, 5*time.Minute
+	accepted(t, w.submit("a", "req-free-1", 1, ""))
+	const wide = 300
+	for n := range wide {
+		accepted(t, w.submit(w.names[n%5], fmt.Sprintf("req-blue-w%d", n), 1, awaiting("req-free-1")))
+	}
+	w.cancelJob("a", "req-free-1")
+	accepted(t, w.submit("b", "req-blue-1", 4, ""))
+	w.started("req-blue-1", 4)
+	left := 0
+	for key := range w.kv {
+		if strings.HasPrefix(key, activeKey("req-blue-w")) {
+			left++
+		}
+	}
+	if left < wide/2 {
+		t.Errorf("only %d of the cascade were left to be stored when the next job began", left)
+	}
+}
+
 // A job that names one whose cancellation is known, but whose tasks have not ended yet.
 func TestJobThatAwaitsOneThatIsEndingIsCancelled(t *testing.T) {
 	w := idleWorld(t, 10)
--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -122,8 +122,12 @@
 
 // flushRank orders what waits to be stored: ends that users are told of, then
 // starts by priority, then the rest. Work of the lowest priority waits for all
-// other starts, its ends too.
+// other starts, its ends too. Nobody waits for the stored end of a job that was cancelled
+// before it could begin: a cascade of hundreds would hold up all starts for a minute.
 func flushRank(j *job.Job) int {
+	if j.Cancelled && j.Awaiting {
+		return rankRest
+	}
 	switch ends := j.Complete() || j.Cancelled; {
 	case ends && !lowest(j):
 		return 0
