--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -226,7 +226,9 @@
 	if k.State == protocol.Done {
 		s.Done = k.Tasks
 	}
-	if k.State == protocol.Cancelled {
+	if j := c.jobs[id]; k.State == protocol.Cancelled && j != nil && j.Awaiting {
+		c.cancelWith(j, "") // nothing of it runs that others would have to stop
+	} else if k.State == protocol.Cancelled {
 		c.cancelKnown(Cancellation{Job: id, Revision: r.Item.Version})
 		c.announceCancel(id)
 	} else {
--- a/internal/core/awaits_test.go
+++ b/internal/core/awaits_test.go
@@ -320,6 +320,13 @@
 		}
 	}
 	w.slowWatcher = behind
+	home := w.homeOf("blue")
+	w.lateWrite = func(node string, e StoreTxn) time.Duration { // the cascade is not stored meanwhile
+		if node == home && slices.ContainsFunc(e.Txn.Then, func(ch protocol.Change) bool { return strings.HasPrefix(ch.Delete, keyActive) }) {
+			return time.Minute
+		}
+		return 0
+	}
 	w.refuse(func(f, to string) bool { return f == behind || to == behind })
 	if a := w.cancelJob(w.homeOf("free"), "req-free-1"); a.Status != http.StatusOK {
 		t.Fatalf("cancellation got %d", a.Status)
@@ -333,7 +340,10 @@
 			t.Fatalf("it is %s, by a controller that has not heard of the cancellation", got)
 		}
 	}
-	w.slowWatcher = ""
+	if _, stored := w.state("req-blue-2"); stored {
+		t.Fatal("the store tells the cancellation by now")
+	}
+	w.slowWatcher, w.lateWrite = "", nil
 	w.restore()
 	w.run(5*time.Second, nil)
 	if got := w.stance(behind, "req-blue-2"); got != protocol.Cancelled {
@@ -376,6 +386,46 @@
 	}
 }
 
+// The user of a job cancels it at the moment at which it is cancelled with what it awaits: it
+// ends once, and nothing of either cancellation is left in the store.
+func TestCascadeMeetsTheUsersOwnCancellation(t *testing.T) {
+	w := idleWorld(t, 10)
+	w.racing, w.taskTime = true, 5*time.Minute
+	accepted(t, w.submit("a", "req-free-1", 1, ""))
+	accepted(t, w.submit("a", "req-blue-1", 1, awaiting("req-free-1")))
+	w.started("req-free-1", 1)
+	home := w.homeOf("blue")
+	users := protocol.Txn{ // as any controller would store it
+		If:   []protocol.Condition{{Key: keyState + "req-blue-1"}},
+		Then: []protocol.Change{put(keyState+"req-blue-1", stateKey{State: protocol.Cancelled}), put(cancelKey("req-blue-1"), cancelMark{})},
+	}
+	met := false
+	w.lateWrite = func(node string, e StoreTxn) time.Duration { // the home's write waits for the user's
+		if node == home && !met && slices.ContainsFunc(e.Txn.Then, func(ch protocol.Change) bool { return ch.Delete == activeKey("req-blue-1") }) {
+			met = w.decide(users).Outcome == Applied
+			return 3 * time.Second
+		}
+		return 0
+	}
+	w.watchLag = 4 * time.Second // and the home hears of it by its own write
+	w.refuse(everyLink)
+	w.cancelJob(home, "req-free-1")
+	if !w.run(10*time.Second, func() bool { return met }) {
+		t.Fatal("the home does not store the cascade")
+	}
+	w.restore()
+	w.watchLag, w.lateWrite = 0, nil
+	w.run(w.allowed(), nil)
+	for key := range w.kv {
+		if strings.HasSuffix(key, "req-blue-1") && key != keyState+"req-blue-1" {
+			t.Errorf("%s is left", key)
+		}
+	}
+	if got := w.stance("c", "req-blue-1"); got != protocol.Cancelled {
+		t.Errorf("it is %q", got)
+	}
+}
+
 // A wide cascade does not hold up what starts: nobody waits for its stored ends.
 func TestCascadeLetsStartsPass(t *testing.T) {
 	w := idleWorld(t, 20)
--- a/internal/core/job/layout_test.go
+++ b/internal/core/job/layout_test.go
@@ -24,6 +24,22 @@
 	head   json.RawMessage
 	chunks map[ChunkKey]json.RawMessage
 	writes int
+	// known is what the state service holds of each task.
+	known map[int]taskState
+}
+
+// taskState is what is stored of a task: its attempt while it is bound, and whether it is done.
+type taskState struct {
+	attempt uint64
+	done    bool
+}
+
+func stateOf(j *Job, i int) taskState {
+	s := taskState{done: j.Done.Has(i)}
+	if b := j.Bound[i]; b != nil {
+		s.attempt = b.Attempt
+	}
+	return s
 }
 
 // flush stores what has changed in one transaction, unless that fails.
@@ -44,9 +60,29 @@
 			s.chunks[w.Key] = w.Value
 		}
 	}
+	for i := range s.job.Tasks {
+		if !s.job.DirtyAt(i) || i < s.job.ChunkSize {
+			s.known[i] = stateOf(s.job, i)
+		}
+	}
+	s.check()
 	return more
 }
 
+// check reads the job as it is stored now. That a task is done may be known early.
+func (s *storedJob) check() {
+	back := s.read()
+	for i := range s.job.Tasks {
+		got, want := stateOf(back, i), s.known[i]
+		if s.job.Cancelled {
+			got.done, want.done = false, false // nobody asks any more
+		}
+		if got != want && !(got.done && s.job.Done.Has(i)) {
+			s.t.Fatalf("task %d is read as %+v, stored as %+v", i, got, want)
+		}
+	}
+}
+
 // flushAll stores until nothing is left to be stored.
 func (s *storedJob) flushAll() {
 	for n := 0; s.job.Dirty() || n == 0; n++ {
@@ -98,7 +134,7 @@
 func TestSplitJobReadsBackAsItWasStored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tasks := rapid.IntRange(1, 3*formerChunk+3).Draw(t, "tasks")
-		s := &storedJob{t: t, job: New(Spec{ID: "req-1", Tasks: tasks}, formerChunk, 0), chunks: map[ChunkKey]json.RawMessage{}, writes: 4}
+		s := &storedJob{t: t, job: New(Spec{ID: "req-1", Tasks: tasks}, formerChunk, 0), chunks: map[ChunkKey]json.RawMessage{}, writes: 4, known: map[int]taskState{}}
 		for range rapid.IntRange(0, 40).Draw(t, "before") {
 			s.change()
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -111,7 +111,7 @@
 
 // Limits to come may leave out what stays as it is; the tightest hold before and after.
 func TestLimitsToComeAreReadWithThePresentOnes(t *testing.T) {
-	s, err := Load(write(t, "s.toml", good+"[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 20\n"))
+	s, err := Load(write(t, "s.toml", good+"[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 5\nwrite_rps = 99.0\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,7 +120,7 @@
 		t.Errorf("present limits are %+v", s.Params.State.StateLimits)
 	}
 	tightest := present
-	tightest.ValueKB = 2
+	tightest.ValueKB, tightest.TxnOps = 2, 5
 	if got := s.Params.State.Tightest(); got != tightest {
 		t.Errorf("tightest limits are %+v", got)
 	}
