Reckon small chunks by what bindings take, so that fewer keys hold a job

Cause: within limits of 2 KiB a value was reckoned at 64 bytes a task, 32 tasks a chunk, and the median array of 35 urgent tasks took two keys of 9 changes a second that starts and ends have. A binding takes at most a machine's name and five numbers. Change: a head that tells its chunk size has as many tasks as fit beside its description, 43 and more at 2 KiB; a test fills them. Chunks whose size follows from the settings stay.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,9 +72,11 @@
 	types    map[string]protocol.MachineType
 	machines map[string]*worker.Machine
 	// ids names the machines in order; ledger holds what is bound to them.
-	ids    []string
-	ledger *job.Ledger
-	own    map[string]*control
+	ids []string
+	// longestName is the length of the longest name of a machine that was ever known.
+	longestName int
+	ledger      *job.Ledger
+	own         map[string]*control
 	// decided holds what was decided on starts, by machine.
 	decided map[string]*decisions
 	term    termState
--- a/internal/core/job/layout.go
+++ b/internal/core/job/layout.go
@@ -58,12 +58,22 @@
 	// stored holds the keys that exist, dirty the chunks whose stored form is out of date.
 	stored map[ChunkKey]bool
 	dirty  map[int]bool
+	// specBytes is how long the stored description is, once it was asked for.
+	specBytes int
 }
 
 func newLayout(chunkSize int) layout {
 	return layout{ChunkSize: chunkSize, stored: map[ChunkKey]bool{}, dirty: map[int]bool{}}
 }
 
+// SpecBytes is how long the stored description is.
+func (j *Job) SpecBytes() int {
+	if j.specBytes == 0 {
+		j.specBytes = j.StoredBytes()
+	}
+	return j.specBytes
+}
+
 // key names chunk c as it is written now.
 func (l *layout) key(c int) ChunkKey {
 	if l.sized {
--- a/internal/core/job/spec.go
+++ b/internal/core/job/spec.go
@@ -139,6 +139,10 @@
 	return raw
 }
 
+// StoredBytes is how long the stored description is, without the awaited jobs: they leave
+// the head before anything is bound.
+func (s *Spec) StoredBytes() int { return len(s.withoutAwaits()) }
+
 // AwaitsBytes is how long the stored list of awaited jobs is.
 func (s *Spec) AwaitsBytes() (n int) {
 	for _, id := range s.Awaits {
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -18,14 +18,31 @@
 	return c.cfg.Params.State.WriteRPS
 }
 
-// bytesPerTask is how long the stored form of one task may be.
-const bytesPerTask = 64
+// bytesPerTask is how long the stored form of one task may be in chunks whose size follows
+// from the settings. Those whose size the head tells are reckoned closer: a binding is the
+// name of its machine, and as much again as five numbers take. headBytes is what a head
+// takes beside the description and the first chunk.
+const (
+	bytesPerTask   = 64
+	bytesOfNumbers = 28
+	headBytes      = 160
+)
+
+// bytesPerBinding is how long the stored form of a binding may be, by the longest name of a
+// machine that is known, and not less than that of a usual one.
+func (c *Core) bytesPerBinding() int { return bytesOfNumbers + max(c.longestName, usualName) }
+
+// usualName is the length of a usual machine's name.
+const usualName = len("vm-000000000")
 
 // chunkSize is the number of tasks under a key of a job whose head does not tell it.
 func (c *Core) chunkSize() int { return tasksPerValue(c.cfg.Params.State.ValueKB) }
 
-// smallChunk is the number of tasks under a key by the tightest limits.
-func (c *Core) smallChunk() int { return tasksPerValue(c.limits().ValueKB) }
+// smallChunk is the number of tasks under a key of a job by the tightest limits.
+func (c *Core) smallChunk(specBytes int) int {
+	left := int(c.limits().ValueKB*1024) - specBytes - headBytes
+	return max(1, left/c.bytesPerBinding())
+}
 
 func tasksPerValue(kb float64) int { return max(1, int(kb*1024)/bytesPerTask) }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -10,6 +10,7 @@
 
 // addMachine notes a machine that has not been heard of before.
 func (c *Core) addMachine(id string) *worker.Machine {
+	c.longestName = max(c.longestName, len(id))
 	m := &worker.Machine{IdleSince: c.now.Steady}
 	c.machines[id] = m
 	at, _ := slices.BinarySearch(c.ids, id)
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -22,6 +22,9 @@
 	lowRate bool
 }
 
+// currentVersion is what this program states.
+var currentVersion = rollout.Record{Version: rollout.Current}
+
 // stateVersion writes once, for good, that this controller has this version.
 func (c *Core) stateVersion() {
 	if c.upgrade.stating || c.upgrade.versions.Stated(c.cfg.Node) >= rollout.Current {
@@ -29,8 +32,7 @@
 	}
 	c.upgrade.stating = true
 	key := keyVersion + c.cfg.Node
-	record := rollout.Record{Version: rollout.Current}
-	c.txn(protocol.Txn{If: []protocol.Condition{{Key: key, Version: c.upgrade.revisions[c.cfg.Node]}}, Then: []protocol.Change{put(key, record)}},
+	c.txn(protocol.Txn{If: []protocol.Condition{{Key: key, Version: c.upgrade.revisions[c.cfg.Node]}}, Then: []protocol.Change{put(key, currentVersion)}},
 		false, func(StoreReply) { c.upgrade.stating = false }) // the watch shows it
 }
 
@@ -54,8 +56,8 @@
 
 // newJob makes a job that is about to be accepted, in the layout that all controllers read.
 func (c *Core) newJob(s job.Spec) *job.Job {
-	if c.allUpgraded() && c.smallChunk() < c.chunkSize() {
-		return job.NewSized(s, c.smallChunk(), c.now.Steady)
+	if small := c.smallChunk(s.StoredBytes()); c.allUpgraded() && small < c.chunkSize() {
+		return job.NewSized(s, small, c.now.Steady)
 	}
 	return job.New(s, c.chunkSize(), c.now.Steady)
 }
@@ -63,10 +65,11 @@
 // splitChunks divides a stored job whose chunks may be too large for the limits to come,
 // before it is written again.
 func (c *Core) splitChunks(j *job.Job) {
-	if !c.allUpgraded() || j.ChunkSize <= c.smallChunk() {
+	small := c.smallChunk(j.SpecBytes())
+	if !c.allUpgraded() || j.ChunkSize <= small {
 		return
 	}
-	if j.Split(c.smallChunk(), c.chunksPerTxn(headChanges)) {
+	if j.Split(small, c.chunksPerTxn(headChanges)) {
 		c.counts.Splits++
 		c.log(Debug, "job is stored in smaller chunks", "job", j.ID, "tasks a chunk", j.ChunkSize)
 	}
--- /dev/null
+++ b/internal/core/upgrade_test.go
@@ -0,0 +1,42 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"pepperlever/internal/core/job"
+	"pepperlever/internal/settings"
+)
+
+// Full chunks of the size that heads tell fit into a value of the limits to come, in the head
+// and beside it, each task on a machine of its own.
+func TestFullSmallChunksFitIntoOneValue(t *testing.T) {
+	for _, kb := range []float64{1, 2, 4} {
+		for _, name := range []string{"vm-%06d", "a-machine-with-a-rather-long-name-%06d"} {
+			cfg := testSettings("a")
+			cfg.Params.State.ValueKB, cfg.Params.State.Next = 16, settings.StateLimits{ValueKB: kb}
+			c := New(cfg, settings.DefaultPolicy(), "a1")
+			for _, node := range nodeNames {
+				c.upgrade.versions.Note(node, currentVersion)
+			}
+			c.addMachine(fmt.Sprintf(name, 1))
+			s := job.Spec{ID: "req-1", Team: "a team", Class: "a class of jobs", Tasks: 500, Image: "img-000017", EstimateS: 1234.5, Accepted: 1_790_000_000_000}
+			j := c.newJob(s)
+			for i := range s.Tasks {
+				j.Bind(i, &job.Binding{Machine: fmt.Sprintf(name, i), Attempt: 99_999, Term: 99_999, Session: 99})
+			}
+			j.Attempt, j.Nonce = 99_999, "node-with-a-name.1234567890.123456"
+			writes, more := j.TakeDirty(s.Tasks)
+			if more || len(writes) < 2 {
+				t.Fatalf("%d chunks of %d tasks", len(writes), j.ChunkSize)
+			}
+			most := len(j.Head())
+			for _, w := range writes {
+				most = max(most, len(w.Value))
+			}
+			if limit := int(kb * 1024); most > limit || most < limit/3 {
+				t.Errorf("%v KiB, %s: %d tasks a chunk take %d bytes", kb, name, j.ChunkSize, most)
+			}
+		}
+	}
+}
