--- a/internal/core/awaits.go
+++ b/internal/core/awaits.go
@@ -16,8 +16,8 @@
 	asking map[string]bool
 	// inheriting are the jobs that have the urgency of others.
 	inheriting []*job.Job
-	// behind are the questions whose answer waits for the replica.
-	behind []behindQuestion
+	// pending are the answers that wait for the replica.
+	pending []pendingAnswer
 	// reloading is set while the replica lacks the jobs of a home that was lost.
 	reloading bool
 	// next is when the states of awaited jobs are asked for again.
@@ -51,6 +51,16 @@
 	}
 }
 
+// hasEnded tells whether a job is known to have ended, by its own final state or by a
+// cancellation that is not stored with it yet.
+func (c *Core) hasEnded(id string) bool {
+	if j := c.jobs[id]; j != nil && j.Cancelled {
+		c.remember(id, protocol.JobState{ID: id, State: protocol.Cancelled})
+	}
+	_, ended := c.finals[id]
+	return ended
+}
+
 // ready lets a job begin whose last awaited job is done.
 func (c *Core) ready(j *job.Job) {
 	j.Ready(c.now.Steady, c.now.Wall)
@@ -147,70 +157,3 @@
 	}
 	c.sched.dirty = true
 }
-
-// behindQuestion are questions on a job of which the state service has said, at a revision,
-// that it is not final. What the replica does not show yet may have cancelled it.
-type behindQuestion struct {
-	id       string
-	asked    []question
-	revision uint64
-}
-
-// tellActive answers questions on a job that has no final state at a revision, at once
-// where nothing else can have ended it.
-func (c *Core) tellActive(id string, qs []question, revision uint64) {
-	if j := c.jobs[id]; j != nil && !j.Cancelled && !c.awaits.graph.Waits(id) {
-		tellAll(qs, active, c.display(id))
-		return
-	}
-	c.awaits.behind = append(c.awaits.behind, behindQuestion{id, qs, revision})
-}
-
-// tellBehind answers the questions whose revision the replica has reached, and turns away
-// those whose users will not wait any longer.
-func (c *Core) tellBehind() {
-	waiting := c.awaits.behind
-	c.awaits.behind = nil
-	for _, b := range waiting {
-		switch {
-		case c.now.Steady-b.asked[0].at > protocol.PollTimeout/2:
-			tellAll(b.asked, untold, protocol.JobState{})
-		case !c.knownUpTo(b):
-			c.awaits.behind = append(c.awaits.behind, b)
-		default:
-			c.tellKnown(b)
-		}
-	}
-}
-
-// hasEnded tells whether a job is known to have ended, by its own final state or by a
-// cancellation that is not stored with it yet.
-func (c *Core) hasEnded(id string) bool {
-	if j := c.jobs[id]; j != nil && j.Cancelled {
-		c.remember(id, protocol.JobState{ID: id, State: protocol.Cancelled})
-	}
-	_, ended := c.finals[id]
-	return ended
-}
-
-// knownUpTo tells whether the replica shows all that may have cancelled a job up to the
-// revision of the question.
-func (c *Core) knownUpTo(b behindQuestion) bool {
-	if c.hasEnded(b.id) {
-		return true
-	}
-	if c.revision < b.revision || c.jobs[b.id] == nil && c.awaits.reloading {
-		return false
-	}
-	return !c.readUpstream(c.awaits.graph.Upstream(b.id))
-}
-
-func (c *Core) tellKnown(b behindQuestion) {
-	if !c.hasEnded(b.id) {
-		tellAll(b.asked, active, c.display(b.id))
-		return
-	}
-	for _, q := range b.asked {
-		c.inquire(b.id, q.tell)
-	}
-}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -261,7 +261,7 @@
 	report := c.reportInterval()
 	c.integrate()
 	c.tellUsers()
-	c.tellBehind()
+	c.answerPending()
 	if c.every(&c.timers.beat, report/3) {
 		c.nodeBeat()
 	}
--- /dev/null
+++ b/internal/core/pendinganswers.go
@@ -0,0 +1,62 @@
+package core
+
+import "pepperlever/internal/protocol"
+
+// pendingAnswer is the answer to questions on a job of which the state service has said, at
+// a revision, that it has no final state. A cancellation that the replica does not show yet
+// may have ended it all the same.
+type pendingAnswer struct {
+	id       string
+	asked    []question
+	revision uint64
+}
+
+// tellActive answers questions on a job that has no final state at a revision, at once
+// where nothing else can have ended it.
+func (c *Core) tellActive(id string, qs []question, revision uint64) {
+	if j := c.jobs[id]; j != nil && !j.Cancelled && !c.awaits.graph.Waits(id) {
+		tellAll(qs, active, c.display(id))
+		return
+	}
+	c.awaits.pending = append(c.awaits.pending, pendingAnswer{id, qs, revision})
+}
+
+// answerPending answers the questions whose revision the replica has reached, and turns away
+// those whose users will not wait any longer.
+func (c *Core) answerPending() {
+	waiting := c.awaits.pending
+	c.awaits.pending = nil
+	for _, p := range waiting {
+		switch {
+		case c.now.Steady-p.asked[0].at > protocol.PollTimeout/2:
+			tellAll(p.asked, untold, protocol.JobState{})
+		case !c.replicaTells(p):
+			c.awaits.pending = append(c.awaits.pending, p)
+		default:
+			c.answerNow(p)
+		}
+	}
+}
+
+// replicaTells tells whether the replica shows all that may have cancelled a job up to the
+// revision of its check.
+func (c *Core) replicaTells(p pendingAnswer) bool {
+	if c.hasEnded(p.id) {
+		return true
+	}
+	if c.revision < p.revision || c.jobs[p.id] == nil && c.awaits.reloading {
+		return false
+	}
+	return !c.readUpstream(c.awaits.graph.Upstream(p.id))
+}
+
+// answerNow answers by what the replica shows.
+func (c *Core) answerNow(p pendingAnswer) {
+	if !c.hasEnded(p.id) {
+		tellAll(p.asked, active, c.display(p.id))
+		return
+	}
+	for _, q := range p.asked {
+		c.inquire(p.id, q.tell)
+	}
+}
--- a/internal/core/upgrade.go
+++ b/internal/core/upgrade.go
@@ -54,9 +54,14 @@
 // allUpgraded tells whether what only this version understands may be stored.
 func (c *Core) allUpgraded() bool { return c.upgrade.versions.All(rollout.Chains) }
 
+// storesSmaller tells whether jobs are to be stored in chunks that fit smaller values to come.
+func (c *Core) storesSmaller() bool {
+	return c.allUpgraded() && c.limits().ValueKB < c.cfg.Params.State.ValueKB
+}
+
 // newJob makes a job that is about to be accepted, in the layout that all controllers read.
 func (c *Core) newJob(s job.Spec) *job.Job {
-	if small := c.smallChunk(s.StoredBytes()); c.allUpgraded() && small < c.chunkSize() {
+	if small := c.smallChunk(s.StoredBytes()); c.storesSmaller() && small < c.chunkSize() {
 		return job.NewSized(s, small, c.now.Steady)
 	}
 	return job.New(s, c.chunkSize(), c.now.Steady)
@@ -65,8 +70,11 @@
 // splitChunks divides a stored job whose chunks may be too large for the limits to come,
 // before it is written again.
 func (c *Core) splitChunks(j *job.Job) {
+	if !c.storesSmaller() {
+		return
+	}
 	small := c.smallChunk(j.SpecBytes())
-	if !c.allUpgraded() || j.ChunkSize <= small {
+	if j.ChunkSize <= small {
 		return
 	}
 	if j.Split(small, c.chunksPerTxn(headChanges)) {
