--- a/internal/core/bulletin/bulletin_test.go
+++ b/internal/core/bulletin/bulletin_test.go
@@ -3,13 +3,19 @@
 import (
 	"fmt"
 	"maps"
+	"os"
 	"slices"
 	"testing"
 
 	"github.com/segmentio/encoding/json"
 	"pgregory.net/rapid"
+
+	"pepperlever/internal/repeatable"
 )
 
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { os.Exit(repeatable.Run(m, nil)) }
+
 // Whatever a controller has to say fits into pages and is read again as it was, and
 // the changes that are written, in any portions and with lost answers, end with the
 // store holding those pages.
--- a/internal/core/chain/chain_test.go
+++ b/internal/core/chain/chain_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"pepperlever/internal/repeatable"
 )
 
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { os.Exit(repeatable.Run(m, nil)) }
+
 // A job is ready exactly when the last job that it awaits is done, in whatever order they
 // end, and upstream of it is what a walk over all edges finds.
 func TestJobIsReadyWhenTheLastAwaitedIsDone(t *testing.T) {
--- a/internal/core/headroom/headroom_test.go
+++ b/internal/core/headroom/headroom_test.go
@@ -1,13 +1,18 @@
 package headroom
 
 import (
+	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/repeatable"
 )
 
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { os.Exit(repeatable.Run(m, nil)) }
+
 // Room is kept for two of the largest jobs, but never for more than a quarter of what a
 // class has: a single service of thousands must not idle as many places again.
 func TestSpareRoomIsBounded(t *testing.T) {
--- a/internal/core/job/layout_test.go
+++ b/internal/core/job/layout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -10,8 +11,13 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/segmentio/encoding/json"
 	"pgregory.net/rapid"
+
+	"pepperlever/internal/repeatable"
 )
 
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { os.Exit(repeatable.Run(m, nil)) }
+
 const (
 	formerChunk = 16
 	smallChunk  = 4
