Show what each controller plans for all teams, and bindings that were never stored

Why a job waits was counted for the teams that a controller leads alone. Every controller plans for all teams, and the leader of the fleet rents by its own plan: where it plans by other knowledge than a team's leader, neither status, log nor metrics showed that.

pepperlever_planned_tasks counts the waiting tasks of all teams by reason, as this controller plans; pepperlever_unstored_claims counts bindings that other leaders have announced and the store does not show. The line "pending tasks" has both.

No decision changes.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -55,7 +55,7 @@
 		return &core.Answer{Req: c.Req, Status: 200}
 	case core.JobStatistics:
 		return &core.Answer{Req: c.Req, Status: 200, Body: core.StatisticsReport{LongestUnanswered: 8 * time.Second, Unacknowledged: 3, Staleness: 7 * time.Second,
-			Pending: core.PendingTasks{Dependencies: 5, TeamLimit: 6}, Counters: core.Counters{CascadedCancellations: 4, OversizedTransactions: 2},
+			Pending: core.PendingTasks{Dependencies: 5, TeamLimit: 6}, Planned: core.PendingTasks{Capacity: 9}, UnstoredClaims: 2, Counters: core.Counters{CascadedCancellations: 4, OversizedTransactions: 2},
 			Rows: []jobstats.Row{{Kind: "class", Name: "train", Accepted: 3, LargestStarted: 1, Oldest: 7 * time.Second}}}}
 	case core.Heartbeat:
 		return &core.Answer{Req: c.Req, Status: 200, Body: c.Report.Machine}
@@ -88,6 +88,8 @@
 		{false, "GET", "/metrics", "", 200, "pepperlever_unsure_seconds 7"},
 		{false, "GET", "/metrics", "", 200, `pepperlever_waiting_tasks{reason="awaits"} 5`},
 		{false, "GET", "/metrics", "", 200, `pepperlever_waiting_tasks{reason="limit"} 6`},
+		{false, "GET", "/metrics", "", 200, `pepperlever_planned_tasks{reason="room"} 9`},
+		{false, "GET", "/metrics", "", 200, "pepperlever_unstored_claims 2"},
 		{false, "GET", "/metrics", "", 200, "pepperlever_cascaded_cancellations_total 4"},
 		{false, "GET", "/metrics", "", 200, "pepperlever_oversized_transactions_total 2"},
 		{true, "GET", "/gateway/status", "", 200, `"node":"a"`},
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -98,14 +98,18 @@
 	fmt.Fprintf(&b, "pepperlever_longest_unanswered_seconds %.0f\n", s.LongestUnanswered.Seconds())
 	fmt.Fprintf(&b, "pepperlever_cancellations_owed %d\n", s.Unacknowledged)
 	fmt.Fprintf(&b, "pepperlever_unsure_seconds %.0f\n", s.Staleness.Seconds())
-	for _, w := range []struct {
-		reason string
-		tasks  int
-	}{{"awaits", s.Pending.Dependencies}, {"limit", s.Pending.TeamLimit}, {"room", s.Pending.Capacity}} {
-		fmt.Fprintf(&b, "pepperlever_waiting_tasks{reason=%q} %d\n", w.reason, w.tasks)
-	}
+	writePendingTasks(&b, "pepperlever_waiting_tasks", s.Pending)
+	writePendingTasks(&b, "pepperlever_planned_tasks", s.Planned)
+	fmt.Fprintf(&b, "pepperlever_unstored_claims %d\n", s.UnstoredClaims)
 	fmt.Fprintf(&b, "pepperlever_cascaded_cancellations_total %d\n", s.Counters.CascadedCancellations)
 	fmt.Fprintf(&b, "pepperlever_split_jobs_total %d\n", s.Counters.SplitJobs)
 	fmt.Fprintf(&b, "pepperlever_oversized_transactions_total %d\n", s.Counters.OversizedTransactions)
 	return []byte(b.String())
 }
+
+// writePendingTasks writes how many tasks wait, by what they wait for.
+func writePendingTasks(b *strings.Builder, metric string, pending core.PendingTasks) {
+	fmt.Fprintf(b, "%s{reason=\"awaits\"} %d\n", metric, pending.Dependencies)
+	fmt.Fprintf(b, "%s{reason=\"limit\"} %d\n", metric, pending.TeamLimit)
+	fmt.Fprintf(b, "%s{reason=\"room\"} %d\n", metric, pending.Capacity)
+}
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -30,6 +30,17 @@
 	}
 }
 
+// unstoredClaims counts the bindings that other leaders have announced and the store does not
+// show.
+func (c *Core) unstoredClaims() (claims int) {
+	for _, j := range c.jobs {
+		if !c.leads(j) {
+			claims += j.UnstoredBindings()
+		}
+	}
+	return claims
+}
+
 // claimWindow is how long a new binding waits for the claims of other leaders that chose the
 // same room at the same moment.
 func (c *Core) claimWindow() time.Duration { return c.reportInterval() / 60 }
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -110,6 +110,16 @@
 	}
 }
 
+// UnstoredBindings counts the bindings that the store does not hold.
+func (j *Job) UnstoredBindings() (n int) {
+	for _, b := range j.Bound {
+		if !b.Stored {
+			n++
+		}
+	}
+	return n
+}
+
 // DropUnstored forgets what an earlier leader was about to store.
 func (j *Job) DropUnstored() {
 	for i, b := range j.Bound {
--- a/internal/core/pendingtasks.go
+++ b/internal/core/pendingtasks.go
@@ -12,24 +12,41 @@
 	Capacity int
 }
 
-// pendingTasks counts the waiting tasks of the teams that this node leads.
-func (c *Core) pendingTasks() (pending PendingTasks) {
+// add counts the tasks of both.
+func (p PendingTasks) add(other PendingTasks) PendingTasks {
+	return PendingTasks{
+		Dependencies: p.Dependencies + other.Dependencies,
+		TeamLimit:    p.TeamLimit + other.TeamLimit,
+		Capacity:     p.Capacity + other.Capacity,
+	}
+}
+
+// pendingTasks counts the waiting tasks of the teams that this node leads, and those of all teams
+// as this node plans for them.
+func (c *Core) pendingTasks() (led, planned PendingTasks) {
 	for _, t := range c.teams {
-		if !t.leading {
-			continue
+		pending := c.pendingTasksOf(t)
+		planned = planned.add(pending)
+		if t.leading {
+			led = led.add(pending)
 		}
-		used := t.usage()
-		for _, j := range ordered(t.jobs) {
-			if j.Blocked && !j.Cancelled {
-				pending.Dependencies += j.Tasks
-				continue
-			}
-			tasks := c.startAllowance(j)
-			allowed := tasksWithinLimit(t, used, j.Need, tasks)
-			used = used.Plus(j.Need, float64(allowed))
-			pending.Capacity += allowed
-			pending.TeamLimit += tasks - allowed
+	}
+	return led, planned
+}
+
+// pendingTasksOf counts the waiting tasks of a team.
+func (c *Core) pendingTasksOf(t *team) (pending PendingTasks) {
+	used := t.usage()
+	for _, j := range ordered(t.jobs) {
+		if j.Blocked && !j.Cancelled {
+			pending.Dependencies += j.Tasks
+			continue
 		}
+		tasks := c.startAllowance(j)
+		allowed := tasksWithinLimit(t, used, j.Need, tasks)
+		used = used.Plus(j.Need, float64(allowed))
+		pending.Capacity += allowed
+		pending.TeamLimit += tasks - allowed
 	}
 	return pending
 }
--- a/internal/core/statistics.go
+++ b/internal/core/statistics.go
@@ -17,8 +17,13 @@
 	// Staleness is for how long a cancellation may have been confirmed that this controller
 	// does not know of.
 	Staleness time.Duration
-	Pending   PendingTasks
-	Counters  Counters
+	// Pending are the waiting tasks of the teams that this controller leads, Planned those of
+	// all teams as this controller plans for them, which all controllers should see alike.
+	Pending, Planned PendingTasks
+	// UnstoredClaims is how many bindings other controllers have announced that the store does
+	// not show yet.
+	UnstoredClaims int
+	Counters       Counters
 }
 
 // Counters are what this controller has done since it started.
@@ -32,12 +37,15 @@
 }
 
 func (c *Core) statisticsReport() StatisticsReport {
+	led, planned := c.pendingTasks()
 	return StatisticsReport{
 		Rows:              c.stats.Rows(c.now.Steady),
 		LongestUnanswered: c.stats.LongestUnanswered(),
 		Unacknowledged:    c.announcements.unacknowledged(c.peers),
 		Staleness:         c.now.Steady - c.freshness.until(),
-		Pending:           c.pendingTasks(),
+		Pending:           led,
+		Planned:           planned,
+		UnstoredClaims:    c.unstoredClaims(),
 		Counters:          c.counts,
 	}
 }
@@ -52,7 +60,11 @@
 	c.log(Info, "pending tasks",
 		"dependencies", report.Pending.Dependencies,
 		"team_limit", report.Pending.TeamLimit,
-		"capacity", report.Pending.Capacity)
+		"capacity", report.Pending.Capacity,
+		"planned_dependencies", report.Planned.Dependencies,
+		"planned_team_limit", report.Planned.TeamLimit,
+		"planned_capacity", report.Planned.Capacity,
+		"unstored_claims", report.UnstoredClaims)
 	for _, row := range report.Rows {
 		c.log(Info, "job statistics",
 			row.Kind, row.Name,
