Rent for jobs whose dependencies ended unseen by the leader of the fleet

Cause: the leader of the fleet rents by its own plan for all teams. It had been superseded as the team's leader and read the stored state again at the moment at which the awaited jobs ended, so neither the state nor the watch told it of their ends, and it took the job for blocked. Only a team's leader read the final states of awaited jobs that its replica lacks.

Fix: every controller reads the final states of awaited jobs that its replica lacks, for all teams, within the rate of lookups. What is planned follows from the stored state then, whenever a controller began or read it again.

--- a/internal/core/dependencies.go
+++ b/internal/core/dependencies.go
@@ -143,16 +143,12 @@
 	d.core.rememberFinalState(j.ID, protocol.JobState{ID: j.ID, State: protocol.Cancelled})
 }
 
-// check reads what has become of awaited jobs that the replica does not hold: they
-// ended before this controller had read the stored state.
+// check reads what has become of awaited jobs that the replica does not hold: they ended
+// before this controller had read the stored state. Each controller does so for the jobs of all
+// teams, since it plans for all, and the leader of the fleet rents by its own plan.
 func (d *dependencies) check() {
-	if !d.core.every(&d.checkAt, d.core.reportInterval()/6) {
-		return
-	}
-	for _, id := range d.graph.Waiting() {
-		if j := d.core.jobs[id]; j != nil && d.core.leads(j) {
-			d.lookUp(d.awaited(id))
-		}
+	if d.core.every(&d.checkAt, d.core.reportInterval()/6) {
+		d.lookUp(d.graph.AwaitedJobs())
 	}
 }
 
