Forget bindings that were announced and never stored

Cause: a leader announces a binding ahead of its write, so that others leave the room alone. Such a claim ended only when the job was stored again or its holder became the job's leader. One that was never stored counted as room taken and as use of the team's limit, for good, at some controllers and not at others; a newer claim on the same task was ignored while the first stood.

Fix: a claim is void once the store shows another leader, as its write is; claims are taken from the team's leader alone; what is unstored is announced once a report interval, and a claim that is not announced for three is forgotten; a newer claim replaces the older.

--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -11,6 +11,21 @@
 // maxClaimsPerMessage bounds the size of one message.
 const maxClaimsPerMessage = 256
 
+// claimLifetime is for how many report intervals a claim holds that its leader has not announced
+// again. It does so once an interval, and messages may be lost.
+const claimLifetime = 3
+
+// heldClaims tells which jobs of other leaders have claims here. A claim is void once its leader
+// is another, and leased until then: the leader announces it again until it is stored, and one
+// whose binding the leader has dropped expires.
+type heldClaims struct {
+	jobs map[string]bool
+	// renewAt is when this node's own claims are announced again, and those of others judged.
+	renewAt time.Duration
+}
+
+func newHeldClaims() heldClaims { return heldClaims{jobs: map[string]bool{}} }
+
 // shareClaims tells the other controllers at once which room this step has taken. The store
 // shows it to them only after a write and a watch, and until then they would bind the same
 // room again and be refused.
@@ -21,13 +36,79 @@
 	c.scheduler.claims = nil
 }
 
-// handleClaim notes room that another leader is about to bind.
-func (c *Core) handleClaim(claim Claim) {
+// handleClaim notes room that another leader is about to bind. A controller that does not lead
+// the job's team, or no longer does, cannot bind anything.
+func (c *Core) handleClaim(from string, claim Claim) {
 	id, index, ok := job.ParseTaskID(claim.Task)
-	if j := c.jobs[id]; ok && j != nil && !c.leads(j) {
-		j.Claim(index, &job.Binding{Machine: claim.Machine, Attempt: claim.Attempt, Since: c.now.Steady})
+	j := c.jobs[id]
+	if !ok || j == nil || c.leads(j) || c.teamBy[j.Team].leader != from {
+		return
+	}
+	if j.Claim(index, &job.Binding{Machine: claim.Machine, Attempt: claim.Attempt, Since: c.now.Steady}) {
+		c.scheduler.heldClaims.jobs[id] = true
+		c.requestRound()
+	}
+}
+
+// renewClaims announces the bindings again that wait to be stored, and forgets the claims of
+// others that were not.
+func (c *Core) renewClaims() {
+	held := &c.scheduler.heldClaims
+	if !c.every(&held.renewAt, c.reportInterval()) {
+		return
+	}
+	for _, t := range c.teams {
+		if t.leading {
+			c.announceUnstored(t)
+		}
+	}
+	for id := range ordered(held.jobs) {
+		if !c.expireClaims(c.jobs[id]) {
+			delete(held.jobs, id)
+		}
+	}
+}
+
+// announceUnstored announces the bindings of a led team that wait to be stored.
+func (c *Core) announceUnstored(t *team) {
+	for _, j := range ordered(t.jobs) {
+		if !j.Dirty() && !j.InFlight {
+			continue
+		}
+		for index, b := range ordered(j.Bound) {
+			if !b.Stored {
+				c.scheduler.claims = append(c.scheduler.claims, claimOf(j, index, b))
+			}
+		}
+	}
+}
+
+// expireClaims forgets the claims on a job that have expired, and reports whether any is left.
+func (c *Core) expireClaims(j *job.Job) (left bool) {
+	if j == nil || c.leads(j) {
+		return false
+	}
+	expired, left := j.ExpireClaims(c.now.Steady - claimLifetime*c.reportInterval())
+	if expired {
+		c.log(Debug, "claims expired", "job", j.ID)
 		c.requestRound()
 	}
+	return left
+}
+
+// voidClaims forgets the claims of a shard's former leader: it can store nothing any more.
+func (c *Core) voidClaims(s *shard) {
+	for _, j := range ordered(c.jobsOf(s)) {
+		if c.scheduler.heldClaims.jobs[j.ID] {
+			j.DropUnstored()
+			c.requestRound()
+		}
+	}
+}
+
+// claimOf is what other controllers are told of a new binding.
+func claimOf(j *job.Job, index int, b *job.Binding) Claim {
+	return Claim{Machine: b.Machine, Task: j.TaskID(index), Attempt: b.Attempt}
 }
 
 // unstoredClaims counts the bindings that other leaders have announced and the store does not
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -254,6 +254,7 @@
 		c.agents.expireSessions()
 		c.agents.expireStartDecisions()
 	}
+	c.renewClaims()
 	c.dependencies.check()
 	c.dependencies.inheritUrgency()
 	c.relay.update()
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -102,12 +102,41 @@
 	j.clearBinding(i)
 }
 
-// Claim notes a binding that the job's leader is about to store. One that the stored state is
-// already past is ignored. Whatever the leader stores next replaces it.
-func (j *Job) Claim(i int, b *Binding) {
-	if i < j.Tasks && j.isPending(i) && b.Attempt > j.Attempt {
-		j.setBinding(i, b)
+// Claim notes a binding that the job's leader is about to store, in place of an earlier claim on
+// the task, and reports whether that is news. One that the stored state is already past is
+// ignored. Whatever the leader stores next replaces it.
+func (j *Job) Claim(i int, b *Binding) bool {
+	if i >= j.Tasks || j.Done.Has(i) || b.Attempt <= j.Attempt {
+		return false
 	}
+	known := j.Bound[i]
+	switch {
+	case known == nil:
+	case known.Stored:
+		return false
+	case known.Machine == b.Machine && known.Attempt == b.Attempt:
+		known.Since = b.Since
+		return false
+	}
+	j.setBinding(i, b)
+	return true
+}
+
+// ExpireClaims forgets the claims that were last announced before a time. It reports whether it
+// has forgotten any, and whether any is left.
+func (j *Job) ExpireClaims(before time.Duration) (expired, left bool) {
+	for i, b := range j.Bound {
+		switch {
+		case b.Stored:
+		case b.Since < before:
+			j.clearBinding(i)
+			j.firstPending = min(j.firstPending, i)
+			expired = true
+		default:
+			left = true
+		}
+	}
+	return expired, left
 }
 
 // UnstoredBindings counts the bindings that the store does not hold.
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -97,6 +97,7 @@
 		if s.leading {
 			c.lostLeadership(s)
 		}
+		c.voidClaims(s)
 		s.leader, s.leaderIncarnation, s.version = leader.Node, leader.Incarnation, item.Version
 		if c.members.isSelf(leader) {
 			c.becameLeader(s)
@@ -110,6 +111,7 @@
 	for _, s := range c.allShards() {
 		if s.key == key && s.version < revision {
 			c.lostLeadership(s)
+			c.voidClaims(s)
 		}
 	}
 }
--- a/internal/core/peermessaging.go
+++ b/internal/core/peermessaging.go
@@ -44,7 +44,7 @@
 		c.onPut(*m.Accepted)
 	case m.Claims != nil:
 		for _, k := range m.Claims {
-			c.handleClaim(k)
+			c.handleClaim(from, k)
 		}
 	case m.Start != nil:
 		c.agents.forwardStart(from, *m.Start)
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -134,15 +134,15 @@
 	for _, host := range chosen {
 		index = j.NextPending(index + 1)
 		m := c.machines.Get(host.ID)
-		j.Bind(index, &job.Binding{
+		binding := &job.Binding{
 			Machine: host.ID,
 			Attempt: j.Attempt,
 			Token:   m.GrantedToken,
 			Epoch:   m.Session,
 			Since:   c.now.Steady,
-		})
-		claim := Claim{Machine: host.ID, Task: j.TaskID(index), Attempt: j.Attempt}
-		c.scheduler.claims = append(c.scheduler.claims, claim)
+		}
+		j.Bind(index, binding)
+		c.scheduler.claims = append(c.scheduler.claims, claimOf(j, index, binding))
 		p.unstored[host.ID] = true
 		m.IdleSince = c.now.Steady
 	}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -16,6 +16,8 @@
 	next  time.Duration
 	// claims are the bindings made in this step, which other controllers are to be told of.
 	claims []Claim
+	// heldClaims are those of other leaders.
+	heldClaims heldClaims
 	// pendingDemand is the demand that found no room in the newest round.
 	pendingDemand []scaling.Demand
 	// reservedFor tells what hosts were reserved for in the newest round.
@@ -28,6 +30,7 @@
 func newScheduler() scheduler {
 	return scheduler{
 		reservations: newReservations(),
+		heldClaims:   newHeldClaims(),
 	}
 }
 
