Pass on the first report of an agent session whatever it says

Callers saw: an accepted job that never ends.

Cause: a report that says nothing new to its controller is not passed on. While a controller is cut from all others, what it passes on is dropped; when a connection is back it sends the reports of the agents that have a session. A silent agent had none at that moment, and its next report said nothing new, so the others never heard of the epoch in which the tasks are gone; heartbeats kept the machine alive.

Fix: the first report of a session is passed on, so that what the others hold is what the session has sent.

--- a/internal/core/agentsessions.go
+++ b/internal/core/agentsessions.go
@@ -58,6 +58,9 @@
 	clear(s.pendingStarts)
 }
 
+// hasShared tells whether a report of this session was passed on to the other controllers.
+func (s *agentSession) hasShared() bool { return s.lastSharedAt > 0 }
+
 // isBusy tells whether anything is queued, under way, or not reported yet.
 func (s *agentSession) isBusy() bool {
 	return s.delivering || len(s.queuedStarts)+len(s.queuedCommands)+len(s.pendingStarts) > 0
--- a/internal/core/heartbeats.go
+++ b/internal/core/heartbeats.go
@@ -106,14 +106,16 @@
 const sharedExitInterval = 3
 
 // mustShare tells whether the other controllers have to see a report. Of one that says the
-// same as the one before, this node's own heartbeats say enough: the machine is alive.
+// same as the one before, this node's own heartbeats say enough: the machine is alive. The first
+// of a session is passed on whatever it says: when a connection is back the others are sent the
+// reports of the sessions that there are.
 func (a *agentController) mustShare(
 	session *agentSession, m *worker.Machine, report *protocol.Report, direct bool,
 ) bool {
 	known := m.Node == a.cfg.Node && m.GrantedToken == session.token &&
 		m.HasSameContent(report) && m.IsNewer(report) && !m.MissedAnswer(report.Token)
 	switch {
-	case !known:
+	case !known || !session.hasShared():
 		return true
 	case direct && a.reportOverdue(m):
 		// Heartbeats don't name machines whose own reports don't come.
