Reserve hosts for a gang only where it could be placed whole

Callers would see: jobs that fit wait beside hosts that a gang holds which can never be placed.

Cause: ReserveForGang looked for the zone with the most room among those with enough capacity. Hosts of a gang that may span zones stood under the empty name, which is also the result where no zone qualifies, so the check of capacity had no effect for them. Capacity counted hosts kept for accelerators or services, and for gangs to be spread all hosts of a zone.

Change: hosts are reserved only where the gang could be on them whole, were they empty, without hosts of another kind of work and within what each zone may hold of a gang to be spread. Busy hosts and those of another gang count as before.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -88,15 +88,14 @@
 	return h.PriorReservation != (job.Resources{}) && !h.PriorReservation.Fits(s.Need)
 }
 
-// Excludes tells whether the host is reserved for work of another kind.
+// Excludes tells whether the host is reserved for work of another kind, or for another gang.
 func (h *Host) Excludes(s *job.Spec) bool {
-	switch {
-	case h.GPUOnly && s.Need.GPUs == 0:
-		return true
-	case h.ServicesOnly && s.Kind != job.Service:
-		return true
-	}
-	return h.ReservedForGang != "" && h.ReservedForGang != s.ID
+	return h.excludesKind(s) || h.ReservedForGang != "" && h.ReservedForGang != s.ID
+}
+
+// excludesKind tells whether the host is reserved for work of another kind.
+func (h *Host) excludesKind(s *job.Spec) bool {
+	return h.GPUOnly && s.Need.GPUs == 0 || h.ServicesOnly && s.Kind != job.Service
 }
 
 // isLimited tells whether the host is known to go.
--- a/internal/core/placement/reserve.go
+++ b/internal/core/placement/reserve.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"maps"
 	"math"
 	"slices"
 
@@ -58,41 +57,66 @@
 		!h.Excludes(s)
 }
 
-// ReserveForGang reserves hosts with room for a gang of n tasks that finds none: in the zone
-// where most have room already, if as many could ever have, and no more than it needs. Since
-// nothing else takes them meanwhile, they only get more.
+// ReserveForGang reserves hosts with room for a gang of n tasks that finds none, no more than it
+// needs. Since nothing else takes them meanwhile, they only get more. Where the gang could never
+// be placed whole it reserves nothing.
 func ReserveForGang(s *job.Spec, n int, hosts []*Host) {
-	for _, h := range zoneForGang(s, n, hosts) {
+	reserved := Zones{}
+	for _, h := range roomForGang(s, n, hosts) {
 		if n <= 0 {
 			return
 		}
+		tasks := min(FitCount(s.Need, h.Free), ZoneAllowance(s, h.Zone, reserved))
+		if tasks <= 0 {
+			continue
+		}
 		h.ReservedForGang = s.ID
-		n -= FitCount(s.Need, h.Free)
+		reserved[h.Zone] += tasks
+		n -= tasks
 	}
 }
 
-// zoneForGang lists the hosts with room for a task of a gang in the zone where there are most.
-// A gang that need not be in one zone has those of all zones, whatever their capacity.
-func zoneForGang(s *job.Spec, n int, hosts []*Host) []*Host {
-	free, capacity := map[string][]*Host{}, map[string]int{}
-	for _, h := range hosts {
-		zone := ""
-		if s.OneZone {
-			zone = h.Zone
-		}
-		if h.isLimited() || !s.Allows(h.Type, h.Zone, h.Spot) {
-			continue
+// roomForGang lists the hosts with room for a task of a gang of n tasks: those of all zones, or
+// of the zone where there are most if it has to stay in one.
+func roomForGang(s *job.Spec, n int, hosts []*Host) []*Host {
+	usable := slices.DeleteFunc(slices.Clone(hosts), func(h *Host) bool {
+		return h.isLimited() || !s.Allows(h.Type, h.Zone, h.Spot) || h.excludesKind(s)
+	})
+	if !s.OneZone {
+		return roomTogether(s, n, usable)
+	}
+	var most []*Host
+	for _, zone := range slices.Sorted(slices.Values(zonesOf(usable))) {
+		inZone := slices.DeleteFunc(slices.Clone(usable), func(h *Host) bool { return h.Zone != zone })
+		if room := roomTogether(s, n, inZone); len(room) > len(most) {
+			most = room
 		}
-		capacity[zone] += FitCount(s.Need, h.Capacity)
+	}
+	return most
+}
+
+// roomTogether lists the hosts with room for a task of a gang, if n tasks could ever be on the
+// hosts together.
+func roomTogether(s *job.Spec, n int, hosts []*Host) (room []*Host) {
+	if gangCapacity(s, hosts) < n {
+		return nil
+	}
+	for _, h := range hosts {
 		if !h.Reserved && !h.reservedForLarger(s) && !h.Excludes(s) && s.Need.Fits(h.Free) {
-			free[zone] = append(free[zone], h)
+			room = append(room, h)
 		}
 	}
-	best, most := "", 0
-	for _, zone := range slices.Sorted(maps.Keys(free)) {
-		if capacity[zone] >= n && len(free[zone]) > most {
-			best, most = zone, len(free[zone])
-		}
+	return room
+}
+
+// gangCapacity is how many tasks of a gang could be on hosts together, were they empty.
+func gangCapacity(s *job.Spec, hosts []*Host) (tasks int) {
+	byZone := Zones{}
+	for _, h := range hosts {
+		byZone[h.Zone] += FitCount(s.Need, h.Capacity)
+	}
+	for zone, capacity := range byZone {
+		tasks += min(capacity, ZoneAllowance(s, zone, nil))
 	}
-	return free[best]
+	return tasks
 }
