Answer 503 to a status request of the federation before its records are loaded

Callers would see: a controller ends with a nil pointer when an operator asks for the state of hand-offs, or /metrics is read, in the step in which it takes the federation's leadership.

Cause: the coordinator loads its records at the end of the step that makes it, and Status reads an index that is made with them.

What else reads the index from outside of a step checks for itself.

--- a/internal/core/federationoperators.go
+++ b/internal/core/federationoperators.go
@@ -68,7 +68,7 @@
 // coordinator.
 func (f *federationAdapter) runOperatorRequest(from operator, m OperatorRequest) {
 	if m.Op == ActionStatus {
-		f.replyOperator(from, http.StatusOK, SiteStatus{Node: f.core.cfg.Node, Status: f.coordinator.Status()})
+		f.replyStatus(from)
 		return
 	}
 	id := f.operators.add(from)
@@ -82,6 +82,15 @@
 	}
 }
 
+// replyStatus answers an operator with the state of the hand-offs, once the records are loaded.
+func (f *federationAdapter) replyStatus(to operator) {
+	if !f.coordinator.Loaded() {
+		f.replyOperator(to, http.StatusServiceUnavailable, protocol.Problem{Error: "records are not loaded yet"})
+		return
+	}
+	f.replyOperator(to, http.StatusOK, SiteStatus{Node: f.core.cfg.Node, Status: f.coordinator.Status()})
+}
+
 // answerOperator ends an operator's request; users were answered at once.
 func (f *federationAdapter) answerOperator(answer federation.Answer) {
 	from, pending := f.operators.take(answer.Req)
--- a/internal/federation/coordinator.go
+++ b/internal/federation/coordinator.go
@@ -50,6 +50,9 @@
 	}
 }
 
+// Loaded tells whether the records are known.
+func (c *Coordinator) Loaded() bool { return c.loaded }
+
 // Step takes inputs in order and returns the effects in order.
 func (c *Coordinator) Step(now time.Duration, inputs ...Input) []Effect {
 	c.now, c.effects = now, nil
--- a/internal/federation/status.go
+++ b/internal/federation/status.go
@@ -40,7 +40,7 @@
 	Time int64 `json:"at"`
 }
 
-// Status tells how hand-offs stand.
+// Status tells how hand-offs stand. The records have to be loaded.
 func (c *Coordinator) Status() Status {
 	status := Status{Site: c.cfg.Site}
 	for _, cfg := range c.cfg.Peers {
