Reserve hosts for gangs in the order of their acceptance

Callers would see: two gangs of two teams, which awaited other jobs, wait beside idle hosts until these are returned.

Cause: the order went by when a gang could begin, which for one that awaited others is the time at which each controller learned of their ends. Two leaders that disagree each reserve the hosts for the gang of the other.

Change: the order goes by the stored time of acceptance; for gangs that awaited nothing it is the same as before.

--- a/internal/core/gangreservations.go
+++ b/internal/core/gangreservations.go
@@ -32,7 +32,7 @@
 	slices.SortFunc(waiting, func(a, b *job.Job) int {
 		return cmp.Or(
 			cmp.Compare(a.Rank(), b.Rank()),
-			cmp.Compare(gangReservationTime(a, timeoutS), gangReservationTime(b, timeoutS)),
+			cmp.Compare(gangOrder(a, timeoutS), gangOrder(b, timeoutS)),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
@@ -56,10 +56,23 @@
 }
 
 // gangReservationTime is the time of day, in milliseconds, from which hosts are reserved for a
-// gang. While a large one gathers them several small ones wait that could have run, so it waits
-// for longer than they do: as the square of its size, up to maxGangTimeouts.
+// gang.
 func gangReservationTime(j *job.Job, timeoutS float64) int64 {
+	return j.EligibleSince() + gangReservationDelay(j, timeoutS)
+}
+
+// gangOrder orders the gangs that hosts are reserved for. It goes by the stored time of acceptance
+// alone: each controller learns at another moment when a gang's dependencies are done, and two
+// leaders that disagreed on the order would each leave the hosts to the gang of the other.
+func gangOrder(j *job.Job, timeoutS float64) int64 {
+	return j.Accepted + gangReservationDelay(j, timeoutS)
+}
+
+// gangReservationDelay is for how long, in milliseconds, nothing is reserved for a gang. While a
+// large one gathers hosts several small ones wait that could have run, so it waits for longer than
+// they do: as the square of its size, up to maxGangTimeouts.
+func gangReservationDelay(j *job.Job, timeoutS float64) int64 {
 	n := float64(j.Tasks)
 	timeouts := min((n*n-1)/gangSizeDivisor, maxGangTimeouts)
-	return j.EligibleSince() + int64(timeoutS*1000*timeouts)
+	return int64(timeoutS * 1000 * timeouts)
 }
