Forget jobs that ended unseen in the statistics of jobs

Operators saw: oldest_pending in the log and the metrics of a controller names a job that has ended, for as long as the controller runs.

A controller that reads the stored state again finds jobs gone and is not told how they ended; their counts stayed open.

Change: once the state is read, jobs that are not held any more are taken from the active ones. They count as accepted, not as done or cancelled, which this controller has not seen.

--- a/internal/core/jobstats/jobstats.go
+++ b/internal/core/jobstats/jobstats.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -124,6 +125,12 @@
 	}
 }
 
+// Retain forgets the active jobs that are not held any more: they ended in a way that was not
+// seen, and count as accepted alone.
+func (c *Collector) Retain(held func(id string) bool) {
+	maps.DeleteFunc(c.active, func(id string, _ *activeJob) bool { return !held(id) })
+}
+
 // NoteQuery notes a request for the state of a job.
 func (c *Collector) NoteQuery(id string, answered bool, now time.Duration) {
 	since, unanswered := c.unansweredSince[id]
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -72,6 +72,7 @@
 	}
 	c.replica.advance(m.Revision)
 	c.dependencies.endReload()
+	c.stats.Retain(func(id string) bool { return c.jobs[id] != nil })
 	c.freshness.replicaAdvanced(c.replica.revision)
 	if !c.replica.loaded {
 		c.freshness.checkLease()
