Keep on the replica whether it lacks jobs, and call the dependency graph directly

Five methods of dependencies only passed on one call or one field, and whether the stored state is being read again is a fact of the replica. The graph is embedded, reloading is a field of the replica.

--- a/internal/core/deferredstatus.go
+++ b/internal/core/deferredstatus.go
@@ -14,7 +14,7 @@
 // where nothing else can have ended it.
 func (l *lookupController) resolveActive(group lookup.Group, revision uint64) {
 	j := l.core.jobs[group.JobID]
-	if j != nil && !j.Cancelled && !l.core.dependencies.isWaiting(group.JobID) {
+	if j != nil && !j.Cancelled && !l.core.dependencies.Waits(group.JobID) {
 		l.resolveWithProgress(group)
 		return
 	}
@@ -52,7 +52,7 @@
 	if !l.core.replica.shows(status.revision) {
 		return false
 	}
-	if l.core.jobs[id] == nil && l.core.dependencies.isReloading() {
+	if l.core.jobs[id] == nil && l.core.replica.reloading {
 		return false
 	}
 	return !l.core.dependencies.lookUpUpstream(id)
--- a/internal/core/dependencies.go
+++ b/internal/core/dependencies.go
@@ -13,43 +13,23 @@
 // dependencies is what this controller knows of jobs that await others
 // (docs/dependencies.md).
 type dependencies struct {
-	core  *Core
-	graph *dependency.Graph
+	core *Core
+	*dependency.Graph
 	// lookingUp holds the awaited jobs whose state is being read.
 	lookingUp map[string]bool
 	// inheriting are the jobs that have the urgency of others.
 	inheriting []*job.Job
-	// reloading is set while the replica lacks the jobs of a leadership that was lost.
-	reloading bool
 	// checkAt is when the states of awaited jobs are looked up again.
 	checkAt time.Duration
 }
 
 func newDependencies(c *Core) *dependencies {
-	return &dependencies{core: c, graph: dependency.New(), lookingUp: map[string]bool{}}
+	return &dependencies{core: c, Graph: dependency.New(), lookingUp: map[string]bool{}}
 }
 
-// beginReload notes that the replica lacks jobs until the stored state is read again.
-func (d *dependencies) beginReload() { d.reloading = true }
-
-// isReloading tells whether the replica lacks jobs.
-func (d *dependencies) isReloading() bool { return d.reloading }
-
-// endReload notes that the replica holds all jobs again.
-func (d *dependencies) endReload() { d.reloading = false }
-
-// forget drops a job that does not wait any more.
-func (d *dependencies) forget(id string) { d.graph.Forget(id) }
-
-// awaited lists the jobs that a job still waits for.
-func (d *dependencies) awaited(id string) []string { return d.graph.Awaited(id) }
-
-// isWaiting tells whether a job waits for others.
-func (d *dependencies) isWaiting(id string) bool { return d.graph.Waits(id) }
-
 // inheritUrgency lets awaited jobs be as urgent as those that need them.
 func (d *dependencies) inheritUrgency() {
-	if !d.graph.Changed() {
+	if !d.Changed() {
 		return
 	}
 	jobs := d.core.jobs
@@ -57,7 +37,7 @@
 		j.Inherit(nil)
 	}
 	d.inheriting = d.inheriting[:0]
-	urgencies := d.graph.Inherit(func(id string) (dependency.Estimate, bool) {
+	urgencies := d.Inherit(func(id string) (dependency.Estimate, bool) {
 		return urgencyEstimate(jobs[id])
 	})
 	for id, urgency := range ordered(urgencies) {
@@ -82,7 +62,7 @@
 // track notes which jobs a job awaits, when the replica gets it.
 func (d *dependencies) track(j *job.Job) {
 	if j.Attempt > 0 || len(j.Dependencies) == 0 {
-		d.forget(j.ID)
+		d.Forget(j.ID)
 		j.Blocked = false // nothing is bound before all are done
 		return
 	}
@@ -95,7 +75,7 @@
 			unfinished = append(unfinished, id)
 		}
 	}
-	d.graph.Wait(j.ID, unfinished)
+	d.Wait(j.ID, unfinished)
 	if len(unfinished) == 0 {
 		d.onReady(j)
 		return
@@ -116,14 +96,14 @@
 // onEnded tells the jobs that wait for a job of its final state.
 func (d *dependencies) onEnded(id, state string) {
 	if state == protocol.Done {
-		for _, ready := range d.graph.Done(id) {
+		for _, ready := range d.Done(id) {
 			if j := d.core.jobs[ready]; j != nil {
 				d.onReady(j)
 			}
 		}
 		return
 	}
-	for _, follower := range d.graph.Followers(id) {
+	for _, follower := range d.Followers(id) {
 		d.cancelDependent(d.core.jobs[follower], id)
 	}
 }
@@ -148,14 +128,14 @@
 // teams, since it plans for all, and the leader of the fleet rents by its own plan.
 func (d *dependencies) check() {
 	if d.core.every(&d.checkAt, d.core.reportInterval()/6) {
-		d.lookUp(d.graph.AwaitedJobs())
+		d.lookUp(d.AwaitedJobs())
 	}
 }
 
 // lookUpUpstream reads the states of all that a job waits for, directly or through others, that
 // the replica does not hold, and reports whether there are any.
 func (d *dependencies) lookUpUpstream(id string) (unknown bool) {
-	return d.lookUp(d.graph.Upstream(id))
+	return d.lookUp(d.Upstream(id))
 }
 
 // lookUp reads the states of those jobs that the replica does not hold, and reports
@@ -166,7 +146,7 @@
 			continue
 		}
 		unknown = true
-		if d.lookingUp[id] || d.reloading {
+		if d.lookingUp[id] || d.core.replica.reloading {
 			continue
 		}
 		d.lookingUp[id] = true
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -169,6 +169,6 @@
 	for _, j := range c.jobsOf(s) {
 		c.forgetJob(j)
 	}
-	c.dependencies.beginReload()
+	c.replica.reloading = true
 	c.emit(StoreReload{})
 }
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -14,6 +14,9 @@
 type replica struct {
 	// loaded is set once the stored state was read.
 	loaded bool
+	// reloading is set while the copy lacks the jobs of a leadership that was lost, until the
+	// stored state is read again.
+	reloading bool
 	// revision is the newest one that the copy shows.
 	revision uint64
 	// pendingChunks holds chunks of jobs whose head is not known yet.
@@ -71,7 +74,7 @@
 		c.onPut(item)
 	}
 	c.replica.advance(m.Revision)
-	c.dependencies.endReload()
+	c.replica.reloading = false
 	c.stats.Retain(func(id string) bool { return c.jobs[id] != nil })
 	c.freshness.replicaAdvanced(c.replica.revision)
 	if !c.replica.loaded {
--- a/internal/core/replicajobs.go
+++ b/internal/core/replicajobs.go
@@ -127,7 +127,7 @@
 func (c *Core) forgetJob(j *job.Job) {
 	delete(c.jobs, j.ID)
 	c.machines.UntrackBindings(j)
-	c.dependencies.forget(j.ID)
+	c.dependencies.Forget(j.ID)
 	if t := c.teamBy[j.Team]; t != nil {
 		delete(t.jobs, j.ID)
 	}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -21,7 +21,7 @@
 
 // jobProgress is what the user of a job that is not final is told of its progress.
 func (c *Core) jobProgress(id string) protocol.JobState {
-	state := protocol.JobState{ID: id, State: protocol.Queued, Awaits: c.dependencies.awaited(id)}
+	state := protocol.JobState{ID: id, State: protocol.Queued, Awaits: c.dependencies.Awaited(id)}
 	if c.isOutgoing(id) {
 		progress := c.handoffs.progressOf(id)
 		state.Done, state.Running = progress.Done, progress.Running
