Look up the unseen ends of other teams' dependencies within the rate of lookups

A controller that reads the stored state again, or starts over, reads the final states of awaited jobs one by one. Since it does so for the jobs of all teams, a large deployment would have had them read in one burst, and the budget of lookups, which users' polls share, would have been overdrawn for that time.

Change: for the teams that it leads at once, as before; for the others no more in each check than half of its rate allows.

--- a/internal/core/dependencies.go
+++ b/internal/core/dependencies.go
@@ -123,13 +123,38 @@
 	d.core.rememberFinalState(j.ID, protocol.JobState{ID: j.ID, State: protocol.Cancelled})
 }
 
+// checksPerReport is how often the states of awaited jobs are looked up in a report interval.
+const checksPerReport = 6
+
 // check reads what has become of awaited jobs that the replica does not hold: they ended
 // before this controller had read the stored state. Each controller does so for the jobs of all
-// teams, since it plans for all, and the leader of the fleet rents by its own plan.
+// teams, since it plans for all, and the leader of the fleet rents by its own plan: for those of
+// its own teams at once, for the others as far as users' lookups leave room.
 func (d *dependencies) check() {
-	if d.core.every(&d.checkAt, d.core.reportInterval()/6) {
-		d.lookUp(d.AwaitedJobs())
+	interval := d.core.reportInterval() / checksPerReport
+	if !d.core.every(&d.checkAt, interval) {
+		return
+	}
+	for _, id := range d.Waiting() {
+		if j := d.core.jobs[id]; j != nil && d.core.leads(j) {
+			d.lookUp(d.Awaited(id))
+		}
+	}
+	d.lookUp(d.unseen(d.core.lookups.backgroundRequests(interval)))
+}
+
+// unseen lists up to n awaited jobs that the replica does not hold and that are not being looked
+// up.
+func (d *dependencies) unseen(n int) (ids []string) {
+	for _, id := range d.AwaitedJobs() {
+		if len(ids) == n {
+			break
+		}
+		if d.core.jobs[id] == nil && !d.lookingUp[id] {
+			ids = append(ids, id)
+		}
 	}
+	return ids
 }
 
 // lookUpUpstream reads the states of all that a job waits for, directly or through others, that
--- a/internal/core/lookups.go
+++ b/internal/core/lookups.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/segmentio/encoding/json"
 
@@ -14,6 +15,9 @@
 // may take together.
 const lookupShare = 1.0 / 4
 
+// backgroundShare is the part of a node's own lookups that may be for no user.
+const backgroundShare = 1.0 / 2
+
 // lookupController finds out what has become of jobs: it queues requests, sends them to the store
 // within this node's share of its rate, and resolves them by the replies.
 type lookupController struct {
@@ -31,6 +35,11 @@
 	return lookup.Limits{Rate: max(1, share), Conditions: l.core.limits.maxConditions()}
 }
 
+// backgroundRequests is how many lookups may begin in an interval that no user waits for.
+func (l *lookupController) backgroundRequests(interval time.Duration) int {
+	return max(1, int(backgroundShare*l.limits().Rate*interval.Seconds()))
+}
+
 // request finds out what has become of a job: from memory when it is final, or else from a
 // read that begins after the request. What could not be answered while the user waits is
 // turned away at once.
--- a/internal/core/unseenends_test.go
+++ b/internal/core/unseenends_test.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +58,43 @@
 	}
 }
 
+// Guards against a controller that reads the state again and then reads the ends of all that is awaited
+// anywhere in one burst, while users wait for their answers.
+func TestUnseenEndsOfOtherTeamsAreLookedUpWithinTheRateOfLookups(t *testing.T) {
+	w := idleWorld(t, 10)
+	w.taskTime = 10 * time.Minute
+	accepted(t, w.submit("a", "req-red-long", 1, ""))
+	w.started("req-red-long", 1)
+	w.taskTime = time.Second
+	node := w.anotherNode(w.leaderOf("red"))
+	w.slowWatcher = node
+	awaited := []string{"req-red-long"}
+	for n := range 24 {
+		awaited = append(awaited, fmt.Sprintf("req-red-%d", n))
+		accepted(t, w.submit("a", awaited[n+1], 1, ""))
+	}
+	accepted(t, w.submit("a", "req-red-last", 1, awaiting(awaited...)))
+	if !w.run(time.Minute, w.finished(awaited[1:]...)) {
+		t.Fatal("the awaited jobs do not end")
+	}
+	reads := 0
+	w.onEffect = func(from string, e Effect) {
+		if get, is := e.(StoreGet); is && from == node && strings.HasPrefix(get.Key, keyState) {
+			reads++
+		}
+	}
+	w.slowWatcher = ""
+	w.read(node)
+	w.run(time.Second, nil)
+	if rate := w.cores[node].lookups.limits().Rate; reads == 0 || float64(reads) > rate {
+		t.Errorf("%d final states are read in a second, want some and no more than %v", reads, rate)
+	}
+	c := w.cores[node]
+	if !w.run(time.Minute, func() bool { return len(c.dependencies.Awaited("req-red-last")) <= 1 }) {
+		t.Errorf("%d of 25 awaited jobs are not known to have ended", len(c.dependencies.Awaited("req-red-last")))
+	}
+}
+
 // takesForBlocked tells whether a controller takes a job for blocked that its leader does not.
 func (w *world) takesForBlocked(node, id string) bool {
 	c := w.cores[node]
