Show that a cancelled job is called done after a restart, and its dependents run

Case 1: a controller that reads the stored state in two pages while a cancelled job's end is stored takes the job for done and starts the jobs that await it.

--- /dev/null
+++ b/review/harness/main.go
@@ -0,0 +1,22 @@
+// Command harness runs one case of the review: harness CASE FOLDER. It writes record.txt there and
+// exits with 1 if the case's rule was broken, 0 if it held, and 2 if the case couldn't run.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+func main() {
+	cases := map[string]func(){"cancelled-then-done": cancelledThenDone}
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Println("usage: harness CASE FOLDER")
+		os.Exit(2)
+	}
+	time.AfterFunc(115*time.Second, func() {
+		fmt.Println("can't run: out of time")
+		os.Exit(2) // the controllers are ended with this process
+	})
+	cases[os.Args[1]]()
+}
