--- a/review/harness/cloud.go
+++ b/review/harness/cloud.go
@@ -22,6 +22,7 @@
 	StartupS     float64  `json:"startupS"`
 	Yards        []string `json:"yards"`
 	places       map[bool]int
+	only         map[string]bool // zones that have any; nil for all
 }
 
 type vm struct {
@@ -102,6 +103,9 @@
 		return
 	}
 	free := c.typeOf(in.Build).places[in.Loaners]
+	if only := c.typeOf(in.Build).only; only != nil && !only[in.Yard] {
+		free = 0
+	}
 	for _, v := range c.vms {
 		if v.typ == in.Build && v.zone == in.Yard && v.loaners == in.Loaners && v.gone.IsZero() {
 			free--
--- a/review/harness/state.go
+++ b/review/harness/state.go
@@ -173,6 +173,33 @@
 	return nil
 }
 
+// met reports whether the conditions of a transaction are met now and its leases live.
+func (s *State) met(txn *kvTxn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range txn.Then {
+		if c.Hold != 0 && s.leases[c.Hold] == nil {
+			return false
+		}
+	}
+	return len(s.failed(txn)) == 0
+}
+
+// failed returns the keys whose condition isn't met. The caller holds s.mu.
+func (s *State) failed(txn *kvTxn) []string {
+	failed := []string{}
+	for _, c := range txn.If {
+		var tick uint64
+		if item := s.items[c.K]; item != nil {
+			tick = item.LastTick
+		}
+		if tick != c.LastTick {
+			failed = append(failed, c.K)
+		}
+	}
+	return failed
+}
+
 // count returns the number of keys with a prefix.
 func (s *State) count(prefix string) int {
 	s.mu.Lock()
@@ -365,16 +392,7 @@
 			return
 		}
 	}
-	failed := []string{}
-	for _, c := range txn.If {
-		var tick uint64
-		if item := s.items[c.K]; item != nil {
-			tick = item.LastTick
-		}
-		if tick != c.LastTick {
-			failed = append(failed, c.K)
-		}
-	}
+	failed := s.failed(&txn)
 	if len(failed) > 0 {
 		answer(w, 409, map[string]any{"failed": failed, "ledgerTick": s.tick})
 		return
