--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	cases := map[string]func(){"cancelled-then-done": cancelledThenDone, "limit-passed": limitPassed, "limits-lowered": limitsLowered, "told-alone": toldAlone, "held-back": heldBack}
+	cases := map[string]func(){"cancelled-then-done": cancelledThenDone, "limit-passed": limitPassed, "limits-lowered": limitsLowered, "told-alone": toldAlone, "held-back": heldBack, "burst": burst}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: harness CASE FOLDER")
 		os.Exit(2)
