--- a/review/harness/case1.go
+++ b/review/harness/case1.go
@@ -46,7 +46,7 @@
 	submit(job("req-000100", "security-rebuilds", "oncall-crew-0", 2, 2, 3)) // an ordinary job
 	client := &http.Client{Timeout: time.Second}
 	waiting := map[string]time.Time{} // since when a job waits next to room
-	for until := time.Now().Add(100 * time.Second); time.Now().Before(until) && s.finished() < jobs+1 && s.brokenCount("left_waiting") == 0; time.Sleep(3 * time.Second) {
+	for until := time.Now().Add(100 * time.Second); time.Now().Before(until) && s.finished() < jobs+1 && s.brokenCount("left_waiting") == 0; time.Sleep(time.Second) {
 		for _, n := range s.nodes {
 			status, _ := post(client, n.user, "/up", nil)
 			s.rec("load balancer: GET /up at %s: %d", n.name, status)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,7 +17,7 @@
 		os.Exit(2)
 	}
 	log.SetOutput(io.Discard) // what net/http has to say of idle connections
-	time.AfterFunc(115*time.Second, func() {
+	time.AfterFunc(118*time.Second, func() {
 		fmt.Println("can't run: out of time")
 		os.Exit(2) // the controllers are ended with this process
 	})
