--- a/review/harness/cloud.go
+++ b/review/harness/cloud.go
@@ -56,6 +56,7 @@
 	return nil
 }
 
+// ServeHTTP answers a call to the cloud.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -321,6 +321,7 @@
 	t *task
 }
 
+// ServeHTTP answers a direct command or a request for the report.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
