--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -7,6 +7,8 @@
 	"io"
 	"log"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -17,9 +19,17 @@
 		os.Exit(2)
 	}
 	log.SetOutput(io.Discard) // what net/http has to say of idle connections
-	time.AfterFunc(118*time.Second, func() {
-		fmt.Println("can't run: out of time")
-		os.Exit(2) // the controllers are ended with this process
-	})
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-ends:
+		case <-time.After(116 * time.Second):
+		}
+		if theSite != nil {
+			theSite.fatal("out of time, or told to end")
+		}
+		os.Exit(2)
+	}()
 	cases[os.Args[1]]()
 }
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -181,6 +181,9 @@
 	return cfg
 }
 
+// theSite is the site of this process, for an end from outside.
+var theSite *Site
+
 // newSite starts the stand-ins and the controllers of a site.
 func newSite(cfg siteConfig, nodes int) *Site {
 	s := &Site{start: time.Now(), workers: map[string]*Worker{}, jobs: map[string]*jobSpec{}, links: map[[2]string]*link{}, told: map[string]string{}, toldAt: map[string]time.Time{}, doneAt: map[string]map[string]bool{},
@@ -195,6 +198,7 @@
 	if s.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		s.fatal("%v", err)
 	}
+	theSite = s
 	s.program = runCommand()
 	s.state = newState(cfg.rps, cfg.writeRPS, cfg.valueKB, cfg.txnOps)
 	s.state.rec = s.rec
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -51,19 +51,20 @@
 // Worker is a stand-in for a worker, as PROTOCOL describes it, with arrays and gangs. Of gangs it
 // has only the start and the end together, not the failures.
 type Worker struct {
-	mu      sync.Mutex
-	site    *Site
-	r       report
-	typ     *machineType
-	tasks   []*task
-	node    int
-	started time.Time // of the session
-	renewed time.Time // when the last answered report was sent
-	changed chan struct{}
-	stopped chan struct{}
-	ln      net.Listener
-	client  *http.Client
-	images  map[string]time.Time
+	mu         sync.Mutex
+	site       *Site
+	r          report
+	typ        *machineType
+	tasks      []*task
+	node       int
+	started    time.Time // of the session
+	renewed    time.Time // when the last answered report was sent
+	tokenNoted time.Time // when a higher token last counted as a change
+	changed    chan struct{}
+	stopped    chan struct{}
+	ln         net.Listener
+	client     *http.Client
+	images     map[string]time.Time
 }
 
 // startWorker starts the worker of a machine that is up, and returns its address. n chooses the
@@ -208,7 +209,10 @@
 func (w *Worker) execute(baton uint64, calls []command) {
 	if baton > w.r.Baton {
 		w.r.Baton = baton
-		w.noteChange()
+		if time.Since(w.tokenNoted).Seconds() > w.site.leaseS/2 {
+			w.tokenNoted = time.Now()
+			w.noteChange()
+		}
 	}
 	for _, c := range calls {
 		var known *task
@@ -270,6 +274,10 @@
 		if t.Stance != "pulling" {
 			return
 		}
+		if w.site.isDone(t) { // the result is kept
+			w.exit(t, "done")
+			return
+		}
 		w.site.taskStarted(w, t)
 		w.noteChange()
 		if t.job.Shape == "group" {
@@ -288,6 +296,13 @@
 	})
 }
 
+// isDone reports whether a task completed earlier.
+func (s *Site) isDone(t *task) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.doneAt[t.job.UID][t.Piece]
+}
+
 // gangWaits is called when a task of a gang waits for the others, with w.mu held. When all of the
 // attempt wait, they start together; they end together after guessS.
 func (s *Site) gangWaits(w *Worker, t *task) {
