--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -124,13 +124,17 @@
 	return ln
 }
 
-// freeAddress returns an address for a controller. Its port is below those that the system gives to
-// outgoing connections, so that it stays free while the controller is away.
+// reserved holds the listeners that keep the addresses of controllers free until they start.
+var reserved = map[string]net.Listener{}
+
+// freeAddress returns an address for a controller, and keeps it free until the controller starts. Its
+// port is below those that the system gives to outgoing connections, so that it stays free while the
+// controller is away.
 func freeAddress() string {
 	for range 1000 {
 		address := fmt.Sprintf("127.0.0.1:%d", 11000+rand.Intn(19000))
 		if ln, err := net.Listen("tcp4", address); err == nil {
-			ln.Close()
+			reserved[address] = ln
 			return address
 		}
 	}
@@ -139,6 +143,14 @@
 	return ""
 }
 
+// releaseAddress lets a controller use its address.
+func releaseAddress(address string) {
+	if ln := reserved[address]; ln != nil {
+		ln.Close()
+		delete(reserved, address)
+	}
+}
+
 type siteConfig struct {
 	zones                    []string
 	teams                    []team
@@ -279,6 +291,8 @@
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	cmd.Env = append(os.Environ(), "LOG_LEVEL="+envOr("NODE_LOG", "info"))
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	releaseAddress(n.user)
+	releaseAddress(n.peer)
 	if err := cmd.Start(); err != nil {
 		s.fatal("controller: %v", err)
 	}
