--- a/review/harness/state.go
+++ b/review/harness/state.go
@@ -25,6 +25,8 @@
 	txnOps   int
 	requests *bucket
 	writes   *bucket
+	tooLong  int
+	rec      func(format string, args ...any)
 	refused  map[string]bool // controllers that get 503, alone
 	// beforeTxn, if set, is called before a transaction is carried out, and may wait: a slow
 	// answer. beforeList is called before a page is read, afterList after that and before the
@@ -163,6 +165,13 @@
 	s.wake()
 }
 
+// lower puts lower limits in force.
+func (s *State) lower(writeRPS, valueKB float64, txnOps int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes, s.valueKB, s.txnOps = newBucket(writeRPS, writeRPS), valueKB, txnOps
+}
+
 // get returns the value of a key, or nil.
 func (s *State) get(key string) json.RawMessage {
 	s.mu.Lock()
@@ -372,6 +381,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(txn.Then) > s.txnOps || len(txn.If) > 4*s.txnOps {
+		s.tooLong++
+		if s.tooLong <= 5 || s.tooLong%100 == 0 {
+			s.rec("state service: 400 to %s (the %dth): %d changes and %d conditions, %d and %d allowed", node, s.tooLong, len(txn.Then), len(txn.If), s.txnOps, 4*s.txnOps)
+		}
 		answer(w, 400, map[string]any{"error": "transaction is too long"})
 		return
 	}
