--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sort"
 	"strings"
 	"sync"
 	"syscall"
@@ -64,6 +66,7 @@
 	cloud   *Cloud
 	workers map[string]*Worker
 	jobs    map[string]*jobSpec
+	links   map[[2]string]*link // by sender and receiver
 	teams   []team
 	reportS float64
 	leaseS  float64
@@ -73,6 +76,7 @@
 
 	// what is seen
 	told     map[string]string // the last final state that a user was told, by job
+	toldAt   map[string]time.Time
 	doneAt   map[string]map[string]bool
 	running  map[string]map[string]string // running tasks by team: task and attempt to machine
 	onNow    map[string]string            // task to machine
@@ -119,10 +123,19 @@
 	return ln
 }
 
+// freeAddress returns an address for a controller. Its port is below those that the system gives to
+// outgoing connections, so that it stays free while the controller is away.
 func freeAddress() string {
-	ln := listen()
-	defer ln.Close()
-	return ln.Addr().String()
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 11000+rand.Intn(19000))
+		if ln, err := net.Listen("tcp4", address); err == nil {
+			ln.Close()
+			return address
+		}
+	}
+	fmt.Println("can't run: no free port")
+	os.Exit(2)
+	return ""
 }
 
 type siteConfig struct {
@@ -169,7 +182,7 @@
 
 // newSite starts the stand-ins and the controllers of a site.
 func newSite(cfg siteConfig, nodes int) *Site {
-	s := &Site{start: time.Now(), workers: map[string]*Worker{}, jobs: map[string]*jobSpec{}, told: map[string]string{}, doneAt: map[string]map[string]bool{},
+	s := &Site{start: time.Now(), workers: map[string]*Worker{}, jobs: map[string]*jobSpec{}, links: map[[2]string]*link{}, told: map[string]string{}, toldAt: map[string]time.Time{}, doneAt: map[string]map[string]bool{},
 		running: map[string]map[string]string{}, onNow: map[string]string{}, gangs: map[string][]gangTask{}, broken: map[string]int{}, peakCPUs: map[string]float64{},
 		teams: cfg.teams, reportS: cfg.reportS, leaseS: cfg.leaseS, cancelS: cfg.cancelS, trouble: os.Getenv("TROUBLE") != "0",
 		users: &http.Client{Timeout: 5 * time.Second}}
@@ -195,6 +208,13 @@
 		go http.Serve(ln, s.state.handler(n.name))
 		s.nodes = append(s.nodes, n)
 	}
+	for _, n := range s.nodes {
+		for _, o := range s.nodes {
+			if o != n {
+				s.links[[2]string{n.name, o.name}] = newLink(o.peer)
+			}
+		}
+	}
 	for _, n := range s.nodes {
 		n.settings = filepath.Join(s.dir, n.name+".toml")
 		if err := os.WriteFile(n.settings, []byte(s.settingsOf(cfg, n, cloudLn.Addr().String())), 0o600); err != nil {
@@ -229,7 +249,7 @@
 	fmt.Fprintf(&b, "node = %q\ndomain = %q\nbind = %q\npeer_listen = %q\n\n", n.name, n.zone, n.user, n.peer)
 	for _, o := range s.nodes {
 		if o != n {
-			fmt.Fprintf(&b, "[[others]]\nnode = %q\ndomain = %q\naddress = %q\n\n", o.name, o.zone, o.peer)
+			fmt.Fprintf(&b, "[[others]]\nnode = %q\ndomain = %q\naddress = %q\n\n", o.name, o.zone, s.links[[2]string{n.name, o.name}].address)
 		}
 	}
 	zones, _ := json.Marshal(cfg.zones)
@@ -416,7 +436,7 @@
 	j, told, done := s.jobs[id], s.told[id], len(s.doneAt[id])
 	if in.Stance == "done" || in.Stance == "cancelled" {
 		if told == "" {
-			s.told[id] = in.Stance
+			s.told[id], s.toldAt[id] = in.Stance, time.Now()
 		}
 	}
 	s.mu.Unlock()
@@ -473,6 +493,26 @@
 	}
 }
 
+// checkCancelled checks that no task of a job is on a machine more than cancelS after its user was
+// told that it is cancelled.
+func (s *Site) checkCancelled(id string) {
+	s.mu.Lock()
+	at, told := s.toldAt[id], s.told[id] == "cancelled"
+	var on []string
+	for _, tasks := range s.running {
+		for key, job := range tasks {
+			if job == id {
+				on = append(on, key)
+			}
+		}
+	}
+	s.mu.Unlock()
+	if since := time.Since(at); told && since.Seconds() > s.cancelS && len(on) > 0 {
+		sort.Strings(on)
+		s.breaks("ran_cancelled", "%.1f s after the user was told that %s is cancelled, on machines: %v", since.Seconds(), id, on)
+	}
+}
+
 // taskEnded is called when an attempt exits, is killed or its machine is gone.
 func (s *Site) taskEnded(w *Worker, t *task, cause string, wasOn bool) {
 	s.mu.Lock()
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -366,3 +366,6 @@
 	}
 	return res.StatusCode, out
 }
+
+// decode decodes a JSON body; one that isn't JSON leaves out as it is.
+func decode(body []byte, out any) { json.Unmarshal(body, out) }
