--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -81,6 +81,7 @@
 	running  map[string]map[string]string // running tasks by team: task and attempt to machine
 	onNow    map[string]string            // task to machine
 	starts   int
+	started  map[string]bool
 	gangs    map[string][]gangTask // tasks that wait, by job and attempt
 	broken   map[string]int        // rule to count
 	peakCPUs map[string]float64
@@ -183,7 +184,7 @@
 // newSite starts the stand-ins and the controllers of a site.
 func newSite(cfg siteConfig, nodes int) *Site {
 	s := &Site{start: time.Now(), workers: map[string]*Worker{}, jobs: map[string]*jobSpec{}, links: map[[2]string]*link{}, told: map[string]string{}, toldAt: map[string]time.Time{}, doneAt: map[string]map[string]bool{},
-		running: map[string]map[string]string{}, onNow: map[string]string{}, gangs: map[string][]gangTask{}, broken: map[string]int{}, peakCPUs: map[string]float64{},
+		running: map[string]map[string]string{}, onNow: map[string]string{}, started: map[string]bool{}, gangs: map[string][]gangTask{}, broken: map[string]int{}, peakCPUs: map[string]float64{},
 		teams: cfg.teams, reportS: cfg.reportS, leaseS: cfg.leaseS, cancelS: cfg.cancelS, trouble: os.Getenv("TROUBLE") != "0",
 		users: &http.Client{Timeout: 5 * time.Second}}
 	var err error
@@ -456,6 +457,7 @@
 func (s *Site) taskStarted(w *Worker, t *task) {
 	s.mu.Lock()
 	s.starts++
+	s.started[t.job.UID] = true
 	s.rec("run: %s try %d on %s", t.Piece, t.Try, w.r.Hand)
 	other, on := s.onNow[t.Piece]
 	s.onNow[t.Piece] = w.r.Hand
