Log how the stored state was read and what a deleted job was taken for

The log now gives the number of pages of a list with the revisions of the first and the last one, and, at debug, the final state that a controller derives from the deletion of a job, with the version of the job that it knew and the revision of the deletion.

--- a/internal/core/replicajobs.go
+++ b/internal/core/replicajobs.go
@@ -99,7 +99,13 @@
 		return
 	}
 	if j := c.jobs[id]; j != nil && !j.Cancelled && j.Version < revision {
-		c.rememberFinalState(id, finalStateAtDeletion(j))
+		state := finalStateAtDeletion(j)
+		c.log(Debug, "final state derived from the deletion of a job",
+			"job", id,
+			"state", state.State,
+			"version", j.Version,
+			"deleted_at", revision)
+		c.rememberFinalState(id, state)
 	}
 	c.recordEnd(id, revision)
 }
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -53,7 +54,7 @@
 func (s *Store) loadSnapshot() (uint64, error) {
 	var snapshot core.SnapshotLoaded
 	after := ""
-	for {
+	for pages := 1; ; pages++ {
 		page, err := s.listKeys(after)
 		if err != nil {
 			return 0, err
@@ -63,6 +64,11 @@
 		}
 		snapshot.Items = append(snapshot.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
+			slog.Info("stored state listed",
+				"pages", pages,
+				"keys", len(snapshot.Items),
+				"first_page_revision", snapshot.Revision,
+				"last_page_revision", page.Revision)
 			s.emit(snapshot)
 			return snapshot.Revision, nil
 		}
