--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -80,7 +80,7 @@
 		// Item is the item read by StoreGet.
 		Item protocol.KeyValue
 	}
-	// SnapshotLoaded contains everything in the store, as of Revision or slightly later.
+	// SnapshotLoaded contains everything in the store as of Revision.
 	SnapshotLoaded struct {
 		Revision uint64
 		Items    []protocol.KeyValue
