--- a/internal/core/catalog_test.go
+++ b/internal/core/catalog_test.go
@@ -34,7 +34,7 @@
 			for _, n := range cluster.names {
 				cluster.cfg[n].Params.Teams = []settings.Team{{Name: "free"}}
 				cluster.cores[n] = New(cluster.cfg[n], settings.DefaultPolicy(), n+"9")
-				cluster.sendSnapshot(n)
+				cluster.sendSnapshotWhenReachable(n)
 			}
 			for i := range 8 {
 				cluster.addWorker(fmt.Sprintf("z%d", 1+i%2), false)
--- a/internal/core/randomscenarios_test.go
+++ b/internal/core/randomscenarios_test.go
@@ -74,7 +74,8 @@
 		t.Run(fault, func(t *testing.T) {
 			t.Parallel()
 			rapid.Check(t, func(t *rapid.T) {
-				runRandomScenario(t, rapid.SliceOfN(drawScenarioStep(fault), 2, 24).Draw(t, "steps"))
+				steps := rapid.SliceOfN(drawScenarioStep(fault), 2, 24).Draw(t, "steps")
+				runRandomScenario(t, steps, func(*randomScenario) {})
 			})
 		})
 	}
@@ -141,9 +142,10 @@
 
 // runRandomScenario runs the steps of a scenario and then ends all faults. From what users and
 // workers observe, it checks that every invariant holds and that every accepted job is known,
-// starts and ends.
-func runRandomScenario(t tester, steps []scenarioStep) {
+// starts and ends. prepare changes the scenario before its first step.
+func runRandomScenario(t tester, steps []scenarioStep, prepare func(r *randomScenario)) {
 	r := newRandomScenario(t, len(steps)%4 == 0)
+	prepare(r)
 	defer r.recorder.finish()
 	for n, step := range steps {
 		r.rng = rand.New(rand.NewPCG(step.Seed, 23))
--- a/internal/core/replica_test.go
+++ b/internal/core/replica_test.go
@@ -19,7 +19,7 @@
 	}
 	cluster.waitUntilStarted(ids[2], 4)
 	for i := range 12 {
-		cluster.sendSnapshot(nodeNames[i%len(nodeNames)])
+		cluster.sendSnapshotWhenReachable(nodeNames[i%len(nodeNames)])
 		lost := 0
 		for _, id := range slices.Sorted(maps.Keys(cluster.workers)) {
 			if f := cluster.workers[id]; !f.dead && lost < 2 {
--- a/internal/core/simcluster_test.go
+++ b/internal/core/simcluster_test.go
@@ -110,6 +110,12 @@
 	// awaitingSnapshot holds the controllers that wait for a snapshot of the store. awaitingLease
 	// holds those that wait for a lease.
 	awaitingSnapshot, awaitingLease map[string]bool
+	// listPageSize is the number of keys in a page of a list, or 0 for no limit. A controller reads one
+	// page in each step and receives no watch events meanwhile. holdNextPage, if set, reports whether a
+	// controller has to wait with its next page. lists holds the lists that are being read.
+	listPageSize int
+	holdNextPage func(node string) bool
+	lists        map[string]*pagedList
 	// scheduledActions are called on every tick until they return true.
 	scheduledActions []func() bool
 	// latency delays messages between controllers by one tick; a crash of their sender loses
@@ -221,6 +227,7 @@
 		storeLossReported:       map[string]bool{},
 		awaitingSnapshot:        map[string]bool{},
 		awaitingLease:           map[string]bool{},
+		lists:                   map[string]*pagedList{},
 		watchedAt:               map[string]time.Duration{},
 		cancelConfirmedAt:       map[string]time.Duration{},
 		completed:               map[string]bool{},
@@ -275,6 +282,7 @@
 	cluster.inbox[node] = nil
 	delete(cluster.storeUnavailableSince, node)
 	delete(cluster.storeLossReported, node)
+	delete(cluster.lists, node)
 	if cluster.awaitingSnapshot[node] = true; !cluster.outage && !cluster.withoutStore[node] {
 		cluster.sendSnapshotWhenReachable(node)
 	}
@@ -322,6 +330,7 @@
 	if c == nil || cluster.frozen[node] {
 		return
 	}
+	cluster.continueList(node)
 	cluster.sendEvents(node)
 	cluster.updateStoreHealth(node)
 	batch := cluster.inbox[node]
@@ -337,7 +346,7 @@
 
 // sendEvents delivers new store events to a controller, unless its watch is blocked or lags.
 func (cluster *simCluster) sendEvents(node string) {
-	blocked := cluster.outage || cluster.withoutStore[node] || cluster.awaitingSnapshot[node] || cluster.blockedWatcher == node
+	blocked := cluster.outage || cluster.withoutStore[node] || cluster.awaitingSnapshot[node] || cluster.lists[node] != nil || cluster.blockedWatcher == node
 	if blocked || cluster.seen[node] >= uint64(len(cluster.events)) || cluster.now < cluster.watchedAt[node]+cluster.watchLag {
 		return
 	}
--- a/internal/core/simstore_test.go
+++ b/internal/core/simstore_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"pepperlever/internal/protocol"
 	"pepperlever/internal/settings"
 )
@@ -68,21 +70,14 @@
 // sendSnapshotWhenReachable sends a controller a snapshot of the store, as soon as it can reach the
 // store.
 func (cluster *simCluster) sendSnapshotWhenReachable(node string) {
-	if cluster.awaitingSnapshot[node] = cluster.outage || cluster.withoutStore[node]; !cluster.awaitingSnapshot[node] {
-		cluster.sendSnapshot(node)
+	if cluster.awaitingSnapshot[node] = cluster.outage || cluster.withoutStore[node]; cluster.awaitingSnapshot[node] {
+		return
 	}
-}
-
-// sendSnapshot sends a controller a snapshot of all stored keys.
-func (cluster *simCluster) sendSnapshot(node string) {
-	snapshot := SnapshotLoaded{Revision: cluster.revision}
-	for _, key := range slices.Sorted(maps.Keys(cluster.kv)) {
-		if strings.HasPrefix(key, Root) {
-			snapshot.Items = append(snapshot.Items, cluster.kv[key])
-		}
+	if list := cluster.lists[node]; list != nil {
+		list.repeat = true
+		return
 	}
-	cluster.seen[node] = uint64(len(cluster.events))
-	cluster.send(node, snapshot)
+	cluster.beginList(node)
 }
 
 // updateStoreHealth notifies a controller when it has lost the store for a report interval, and
@@ -109,6 +104,23 @@
 	}
 }
 
+// isStored reports whether a key exists.
+func (cluster *simCluster) isStored(key string) bool {
+	_, stored := cluster.kv[key]
+	return stored
+}
+
+// storedLeader returns the controller that the store shows as the leader of a team, or "".
+func (cluster *simCluster) storedLeader(team string) string {
+	var leader leaderRecord
+	if kv, stored := cluster.kv[keyLeader+team]; stored {
+		if err := json.Unmarshal(kv.Value, &leader); err != nil {
+			cluster.t.Fatal(err)
+		}
+	}
+	return leader.Node
+}
+
 // change applies one change as a revision of its own.
 func (cluster *simCluster) change(ch protocol.Change) {
 	cluster.revision++
