--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -157,21 +157,45 @@
 	}
 }
 
-// lostLeadership records that a shard has no known leader. If this node was the leader, its unstored
-// changes are discarded: the jobs are dropped and the stored state is reloaded.
+// lostLeadership records that a shard has no known leader. If this node was the leader, the stored state
+// is reloaded, since the shard's jobs have been dropped.
 func (c *Core) lostLeadership(s *shard) {
-	wasLeading := s.leading
+	if c.dropLeadership(s) {
+		c.replica.reloading = true
+		c.emit(StoreReload{})
+	}
+}
+
+// dropLeadership records that a shard has no known leader, and reports whether this node was the leader.
+// In that case its unstored changes are discarded together with the shard's jobs.
+func (c *Core) dropLeadership(s *shard) (wasLeading bool) {
+	wasLeading = s.leading
 	s.leading, s.leader, s.leaderIncarnation, s.version = false, "", "", 0
 	if c.federation.owns(s) {
 		c.federation.stopCoordinator()
 	}
 	if !wasLeading {
-		return
+		return false
 	}
 	c.log(Info, "leadership lost", "shard", s.name)
 	for _, j := range c.shardJobs(s) {
 		c.forgetJob(j)
 	}
-	c.replica.reloading = true
-	c.emit(StoreReload{})
+	return true
+}
+
+// dropSupersededLeadership drops the leadership of the shards that have another leader record in a
+// snapshot than this node knows. The snapshot then replaces the jobs of these shards, too.
+func (c *Core) dropSupersededLeadership(snapshot SnapshotLoaded) {
+	stored := map[string]uint64{}
+	for _, item := range snapshot.Items {
+		if isLeaderKey(item.Key) {
+			stored[item.Key] = item.Version
+		}
+	}
+	for _, s := range c.allShards() {
+		if s.leading && stored[s.key] != s.version {
+			c.dropLeadership(s)
+		}
+	}
 }
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -61,6 +61,7 @@
 // applySnapshot replaces the replica with the stored state. Jobs of teams that this node leads
 // are kept as they are, because no other controller writes them.
 func (c *Core) applySnapshot(m SnapshotLoaded) {
+	c.dropSupersededLeadership(m)
 	stored := make(map[string]bool, len(m.Items))
 	for _, item := range m.Items {
 		stored[item.Key] = true
--- /dev/null
+++ b/internal/core/snapshotleader_test.go
@@ -0,0 +1,61 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"pepperlever/internal/mustjson"
+	"pepperlever/internal/protocol"
+)
+
+// newSimClusterWithMissedHandover returns a simulated cluster whose team red has a running job. The
+// store shows another leader of the team than the former one knows, because its watch is blocked.
+func newSimClusterWithMissedHandover(t *testing.T) (cluster *simCluster, former, successor string) {
+	t.Helper()
+	cluster = newIdleSimCluster(t, 20)
+	cluster.taskTime = 5 * time.Minute
+	former = cluster.leaderOf("red")
+	for _, node := range cluster.names {
+		if node != former {
+			successor = node
+		}
+	}
+	requireAccepted(t, cluster.submit("a", "req-red-1", 7, ""))
+	cluster.waitUntilStarted("req-red-1", 7)
+	cluster.run(reportIntervals(1), nil)
+	cluster.blockedWatcher = former
+	cluster.storeLeader("red", successor)
+	return cluster, former, successor
+}
+
+// storeLeader stores the leader of a team, as a controller does that hands the team over.
+func (cluster *simCluster) storeLeader(team, node string) {
+	member := cluster.cores[node].members
+	leader := leaderRecord{Node: node, Incarnation: member.incarnation}
+	cluster.change(protocol.Change{Put: keyLeader + team, Value: mustjson.Marshal(leader), Lease: member.lease})
+}
+
+// Guards against answers from a replica without the jobs of a team, such as "pending" for a job that was
+// called cancelled before: a snapshot that showed another leader did not replace the jobs of the former
+// one, which were then dropped.
+func TestSnapshotThatEndsLeadershipReplacesJobs(t *testing.T) {
+	cluster, former, successor := newSimClusterWithMissedHandover(t)
+	reloads := 0
+	cluster.onEffect = func(node string, e Effect) {
+		if _, isReload := e.(StoreReload); isReload && node == former {
+			reloads++
+		}
+	}
+	cluster.sendSnapshotWhenReachable(former)
+	cluster.step(former)
+	c := cluster.cores[former]
+	if red := c.teamsByName["red"]; red.leading || red.leader != successor {
+		t.Fatalf("got leader %q, want %s", red.leader, successor)
+	}
+	if j := c.jobs["req-red-1"]; j == nil || len(j.Bound) != 7 {
+		t.Errorf("got job %+v, want the stored one with 7 bindings", j)
+	}
+	if reloads > 0 {
+		t.Errorf("%d reloads although the snapshot is complete, want none", reloads)
+	}
+}
