Read a job's state again if it ended before the replica shows it

Cause: an answer joins two reads of different revisions. The store says at one revision that the job has no final state, the replica decides at a later one whether it is cancelled because of a dependency.

TestStatusOfJobThatEndsBeforeReplicaIsLoaded failed before: got state "pending", want cancelled.

Change: where the replica covers the reply and lacks the job, the final state is read once more. If there is none, the job was active before and after the replica's revision, so the replica does not hold such jobs, and the answer is as before.

--- a/internal/core/deferredstatus.go
+++ b/internal/core/deferredstatus.go
@@ -61,13 +61,20 @@
 	return !l.core.dependencies.lookUpTransitive(id)
 }
 
-// resolveFromReplica answers requests for a job with the state that the replica shows.
+// resolveFromReplica answers requests for a job with the state that the replica shows. A job that the
+// replica lacks may have ended after its state was read, so its state is read again. If it has no final
+// state even then, it was active at the replica's revision, and the replica does not hold such jobs,
+// for example because their team is no longer in the settings.
 func (l *lookupController) resolveFromReplica(group lookup.Group) {
-	if !l.core.hasEnded(group.JobID) {
+	ended := l.core.hasEnded(group.JobID)
+	switch {
+	case !ended && l.core.jobs[group.JobID] == nil:
+		l.fetchFinalState(group, l.resolveWithProgress)
+	case !ended:
 		l.resolveWithProgress(group)
-		return
-	}
-	for _, request := range group.Requests {
-		l.request(request.JobID, request.Resolve)
+	default:
+		for _, request := range group.Requests {
+			l.request(request.JobID, request.Resolve)
+		}
 	}
 }
--- a/internal/core/deferredstatus_test.go
+++ b/internal/core/deferredstatus_test.go
@@ -93,3 +93,48 @@
 		}
 	}
 }
+
+// Guards against "pending" for a job that was called cancelled before: the job had no final state when the
+// store was asked, ended, and was missing from the replica that then decided on the answer.
+func TestStatusOfJobThatEndsBeforeReplicaIsLoaded(t *testing.T) {
+	const dependency, dependent, node = "req-free-1", "req-blue-1", "c"
+	cluster := newIdleSimCluster(t, 10)
+	cluster.taskTime = 5 * time.Minute
+	requireAccepted(t, cluster.submit("a", dependency, 2, ""))
+	requireAccepted(t, cluster.submit("a", dependent, 2, dependenciesField(dependency)))
+	cluster.waitUntilStarted(dependency, 2)
+	cluster.lateWrite = func(_ string, e StoreTxn) time.Duration { // keeps the cascaded cancellation from being stored
+		if slices.ContainsFunc(e.Txn.Then, func(ch protocol.Change) bool { return ch.Delete == jobKey(dependent) }) {
+			return time.Hour
+		}
+		return 0
+	}
+	cluster.crash(node)
+	cluster.disconnectLinks(func(f, to string) bool { return f == node || to == node })
+	if a := cluster.cancelJob("a", dependency); a.Status != http.StatusOK || cluster.stateSeenBy("a", dependent) != protocol.Cancelled {
+		t.Fatal("the jobs are not cancelled")
+	}
+	cluster.listPageSize = 1
+	cluster.holdNextPage = func(string) bool { return cluster.isStored(jobKey(dependent)) }
+	cluster.boot(node)
+	cluster.nextReq++
+	req := cluster.nextReq
+	cluster.send(node, Status{Req: req, ID: dependent})
+	if !cluster.run(time.Second, func() bool { return len(cluster.cores[node].lookups.deferred) > 0 }) {
+		t.Fatal("the answer is not deferred")
+	}
+	cluster.commitTxn(protocol.Txn{
+		If: []protocol.Condition{{Key: keyState + dependent}},
+		Then: []protocol.Change{
+			{Delete: jobKey(dependent)},
+			putJSON(keyState+dependent, finalStateRecord{State: protocol.Cancelled}),
+		},
+	})
+	cluster.listPageSize = 0 // so the replica is loaded before the user gives up
+	if !cluster.run(3*time.Second, func() bool { return cluster.answers[req].Status != 0 }) {
+		t.Fatal("the user got no answer")
+	}
+	if s := requireJobState(t, cluster.answers[req]); s.State != protocol.Cancelled {
+		t.Errorf("got state %q, want cancelled", s.State)
+	}
+}
--- a/internal/core/lookups.go
+++ b/internal/core/lookups.go
@@ -132,7 +132,7 @@
 	case r.Outcome != OutcomeConflict || len(r.Failed) == 0:
 		group.ResolveUnavailable()
 	case slices.Contains(r.Failed, keyState+group.JobID):
-		l.fetchFinalState(group)
+		l.fetchFinalState(group, lookup.Group.ResolveUnavailable)
 	case slices.Contains(r.Failed, jobKey(group.JobID)):
 		l.onAccepted(group)
 	default:
@@ -166,10 +166,15 @@
 	l.queue.Requeue(unresolved, true)
 }
 
-// fetchFinalState reads the final state of a job that has one.
-func (l *lookupController) fetchFinalState(group lookup.Group) {
+// fetchFinalState reads the final state of a job and resolves the lookups with it. If the job has none,
+// ifMissing resolves them.
+func (l *lookupController) fetchFinalState(group lookup.Group, ifMissing func(lookup.Group)) {
 	l.queue.ChargeBudget()
 	l.core.userGet(keyState+group.JobID, func(r StoreReply) {
+		if r.Outcome == OutcomeMissing {
+			ifMissing(group)
+			return
+		}
 		if err := l.onFinalStateRead(group, r); err != nil {
 			l.core.log(Error, "stored job state is malformed", "job", group.JobID, "error", err.Error())
 			group.ResolveUnavailable()
