Begin to lead only once the replica is complete

Callers could see a team over its limit, or a rental that is neither retried nor removed.

Cause: a controller became a leader in the middle of incomplete state. After a loss of leadership the jobs of the team are missing until the stored state has been read again, but changes on their way could hand the team back before.

Evidence: TestLeaderRecordHasNoEffectWhileJobsAreMissing failed with "leads the team with 0 jobs while the stored state is read again", TestSnapshotMakesLeaderOnceItIsApplied with a leader without the stored intent.

--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -85,7 +85,8 @@
 }
 
 // onLeaderPut records a shard's new leader. Events arrive in order, so the replica already
-// holds everything that an earlier leader has stored.
+// holds everything that an earlier leader has stored, unless jobs are missing until the stored state has
+// been read again. That shows a record that names this node once more, together with the jobs.
 func (c *Core) onLeaderPut(item protocol.KeyValue) error {
 	var leader leaderRecord
 	if err := json.Unmarshal(item.Value, &leader); err != nil {
@@ -98,6 +99,9 @@
 		if s.leading {
 			c.lostLeadership(s)
 		}
+		if c.replica.reloading && c.members.isSelf(leader) {
+			continue
+		}
 		c.dropClaimsOfFormerLeader(s)
 		s.leader, s.leaderIncarnation, s.version = leader.Node, leader.Incarnation, item.Version
 		if c.members.isSelf(leader) {
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -15,7 +15,7 @@
 	// loaded is set once the stored state has been read for the first time.
 	loaded bool
 	// reloading is set from a loss of leadership, which drops the jobs of the shard, until the
-	// stored state has been read again.
+	// stored state has been read again. This node becomes no leader meanwhile.
 	reloading bool
 	// revision is the newest store revision that the copy reflects.
 	revision uint64
@@ -71,11 +71,9 @@
 			c.onDelete(key, m.Revision)
 		}
 	}
-	for _, item := range m.Items {
-		c.onPut(item)
-	}
-	c.replica.advance(m.Revision)
 	c.replica.reloading = false
+	c.applyItems(m.Items)
+	c.replica.advance(m.Revision)
 	c.stats.RetainActive(func(id string) bool { return c.jobs[id] != nil })
 	c.freshness.replicaAdvanced(c.replica.revision)
 	if !c.replica.loaded {
@@ -86,6 +84,22 @@
 	c.register()
 }
 
+// applyItems applies the items of a snapshot. Records of leaders come last, since this node may become a
+// leader, and acts as one on the state that its replica shows.
+func (c *Core) applyItems(items []protocol.KeyValue) {
+	var leaders []protocol.KeyValue
+	for _, item := range items {
+		if isLeaderKey(item.Key) {
+			leaders = append(leaders, item)
+			continue
+		}
+		c.onPut(item)
+	}
+	for _, item := range leaders {
+		c.onPut(item)
+	}
+}
+
 // applyEvents applies the events of the watch in order.
 func (c *Core) applyEvents(m StoreChanged) {
 	for _, e := range m.Events {
--- a/internal/core/simlists_test.go
+++ b/internal/core/simlists_test.go
@@ -70,6 +70,15 @@
 	return page
 }
 
+// snapshot returns all replicated keys at the store's revision.
+func (cluster *simCluster) snapshot() SnapshotLoaded {
+	var list snapshot.Assembler
+	for !list.HasAllPages() {
+		list.AddPage(cluster.listKeys(list.LastKey()))
+	}
+	return SnapshotLoaded{Revision: list.Revision(), Items: list.Items()}
+}
+
 // eventsUntil returns the number of events up to a revision.
 func (cluster *simCluster) eventsUntil(revision uint64) uint64 {
 	first, _ := slices.BinarySearchFunc(cluster.events, revision+1, func(e protocol.Event, after uint64) int { return cmp.Compare(e.Version, after) })
--- a/internal/core/snapshotleader_test.go
+++ b/internal/core/snapshotleader_test.go
@@ -59,3 +59,46 @@
 		t.Errorf("%d reloads although the snapshot is complete, want none", reloads)
 	}
 }
+
+// Guards against a leader that does not know all bindings of its team, and so passes its limit: the record
+// that makes it the leader arrived while the jobs of the team, which it had led before, were missing.
+func TestLeaderRecordHasNoEffectWhileJobsAreMissing(t *testing.T) {
+	cluster, former, _ := newSimClusterWithMissedHandover(t)
+	cluster.storeLeader("red", former)
+	c := cluster.cores[former]
+	red := c.teamsByName["red"]
+	c.handle(LeaseExpired{}) // drops the jobs
+	c.handle(StoreChanged{Revision: cluster.revision, Events: cluster.events[cluster.seen[former]:]})
+	if red.leading {
+		t.Errorf("leads the team with %d jobs while the stored state is read again", len(red.jobs))
+	}
+	c.handle(cluster.snapshot())
+	if j := c.jobs["req-red-1"]; !red.leading || j == nil || len(j.Bound) != 7 {
+		t.Errorf("got leading %v and job %+v, want the leader with the stored job", red.leading, j)
+	}
+}
+
+// Guards against rental intents of a former fleet leader that the next one drops, and so never retries or
+// deletes: it became the leader amid a snapshot, and took intents further on for deleted ones.
+func TestSnapshotMakesLeaderOnceItIsApplied(t *testing.T) {
+	cluster := newIdleSimCluster(t, 4)
+	former := cluster.cores["a"].fleet.leader
+	successor := cluster.names[0]
+	if successor == former {
+		successor = cluster.names[1]
+	}
+	cluster.blockedWatcher = successor
+	intent := rentalIntent{Rental: protocol.Rental{Request: "r-1", Type: "small", Zone: "z1", Count: 1}}
+	cluster.change(putJSON(keyRentalIntent+"r-1", intent))
+	member := cluster.cores[successor].members
+	cluster.change(protocol.Change{
+		Put:   keyFleet,
+		Value: mustjson.Marshal(leaderRecord{Node: successor, Incarnation: member.incarnation}),
+		Lease: member.lease,
+	})
+	c := cluster.cores[successor]
+	c.handle(cluster.snapshot())
+	if !c.fleet.leading || c.intents["r-1"] == nil {
+		t.Errorf("got leading %v and intents %v, want the leader with the stored intent", c.fleet.leading, c.intents)
+	}
+}
