Forget which machines to return when the leadership of the fleet ends

Cause: the fleet leader leaves out machines that it is about to cordon or to return.

Evidence: b decides to return machines that it hears nothing of, loses the fleet at 2m16.4 before it releases them, and at 27 minutes still takes four of six machines for being cordoned; the store has no cordon of them.

Change: the notes end with the leadership. Cordons are stored and hold for all leaders, and a binding to a machine that is cordoned meanwhile fails by its condition.

--- a/internal/core/autoscaler.go
+++ b/internal/core/autoscaler.go
@@ -110,6 +110,14 @@
 	delete(a.returnReasons, machine)
 }
 
+// forgetReturns drops the state of all machines that are to be returned, when this node stops being the
+// fleet leader. The next fleet leader decides about them from what it knows, and cordons are stored.
+func (a *autoscaler) forgetReturns() {
+	clear(a.cordoning)
+	clear(a.returnReasons)
+	clear(a.releasing)
+}
+
 // isBackedOff reports whether an offer is in backoff: nothing is rented from it for now.
 func (a *autoscaler) isBackedOff(key offerKey, now time.Duration) bool {
 	return now < a.backoffs[key].until
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -182,6 +182,9 @@
 		return false
 	}
 	c.log(Info, "leadership lost", "shard", s.name)
+	if s == c.fleet {
+		c.autoscaler.forgetReturns()
+	}
 	for _, j := range c.shardJobs(s) {
 		c.forgetJob(j)
 	}
--- a/internal/core/snapshotleader_test.go
+++ b/internal/core/snapshotleader_test.go
@@ -24,15 +24,15 @@
 	cluster.waitUntilStarted("req-red-1", 7)
 	cluster.run(reportIntervals(1), nil)
 	cluster.blockedWatcher = former
-	cluster.storeLeader("red", successor)
+	cluster.storeLeader(keyLeader+"red", successor)
 	return cluster, former, successor
 }
 
-// storeLeader stores the leader of a team, as a controller does that hands the team over.
-func (cluster *simCluster) storeLeader(team, node string) {
+// storeLeader stores the leader of a shard under its key, as a controller does that hands the shard over.
+func (cluster *simCluster) storeLeader(key, node string) {
 	member := cluster.cores[node].members
 	leader := leaderRecord{Node: node, Incarnation: member.incarnation}
-	cluster.change(protocol.Change{Put: keyLeader + team, Value: mustjson.Marshal(leader), Lease: member.lease})
+	cluster.change(protocol.Change{Put: key, Value: mustjson.Marshal(leader), Lease: member.lease})
 }
 
 // Guards against answers from a replica without the jobs of a team, such as "pending" for a job that was
@@ -64,7 +64,7 @@
 // that makes it the leader arrived while the jobs of the team, which it had led before, were missing.
 func TestLeaderRecordHasNoEffectWhileJobsAreMissing(t *testing.T) {
 	cluster, former, _ := newSimClusterWithMissedHandover(t)
-	cluster.storeLeader("red", former)
+	cluster.storeLeader(keyLeader+"red", former)
 	c := cluster.cores[former]
 	red := c.teamsByName["red"]
 	c.handle(LeaseExpired{}) // drops the jobs
@@ -90,12 +90,7 @@
 	cluster.blockedWatcher = successor
 	intent := rentalIntent{Rental: protocol.Rental{Request: "r-1", Type: "small", Zone: "z1", Count: 1}}
 	cluster.change(putJSON(keyRentalIntent+"r-1", intent))
-	member := cluster.cores[successor].members
-	cluster.change(protocol.Change{
-		Put:   keyFleet,
-		Value: mustjson.Marshal(leaderRecord{Node: successor, Incarnation: member.incarnation}),
-		Lease: member.lease,
-	})
+	cluster.storeLeader(keyFleet, successor)
 	c := cluster.cores[successor]
 	c.handle(cluster.snapshot())
 	if !c.fleet.leading || c.intents["r-1"] == nil {
