Ignore a message about an accepted job that the replica has passed

Callers could see machines that are rented for a job that has ended, and jobs that wait for it for good.

Cause: a message about an acceptance may be held back until the job has ended.

Evidence: TestAcceptanceMessageDelayedPastSnapshotDoesNotRestoreEndedJob failed with "the replica holds a job that has ended" and "the controller plans for 1 tasks of ended jobs".

Change: a message about a revision that the replica reflects is ignored, since the replica then holds the job, or the job has ended, or the stored state is being read again.

--- a/internal/core/lookups_test.go
+++ b/internal/core/lookups_test.go
@@ -142,3 +142,28 @@
 		t.Errorf("got %d lookups and %d commands, want 3 lookups and no commands", unknown, len(w.queuedCommands))
 	}
 }
+
+// Guards against an ended job that a replica holds for good: the message about its acceptance arrives after
+// a snapshot that no longer shows the job, so that its end was never seen.
+func TestAcceptanceMessageDelayedPastSnapshotDoesNotRestoreEndedJob(t *testing.T) {
+	const id, node = "req-blue-1", "c"
+	cluster := newSimCluster(t).waitUntilReady()
+	cluster.blockedWatcher = node
+	cluster.delayLinks(func(_, to string) bool { return to == node })
+	requireAccepted(t, cluster.submit("a", id, 1, ""))
+	if !cluster.run(time.Minute, cluster.allDone(id)) {
+		t.Fatal("the job did not end")
+	}
+	cluster.sendSnapshotWhenReachable(node)
+	cluster.run(time.Second, nil)
+	cluster.blockedWatcher = ""
+	cluster.restoreLinks()
+	cluster.run(reportIntervals(claimLifetimeIntervals+2), nil) // until claims on its tasks have expired
+	c := cluster.cores[node]
+	if c.jobs[id] != nil {
+		t.Error("the replica holds a job that has ended")
+	}
+	if _, planned := c.pendingTasks(); planned.Capacity > 0 {
+		t.Errorf("the controller plans for %d tasks of ended jobs", planned.Capacity)
+	}
+}
--- a/internal/core/peermessaging.go
+++ b/internal/core/peermessaging.go
@@ -42,7 +42,7 @@
 			c.applyObservation(observation)
 		}
 	case m.Accepted != nil:
-		c.onPut(*m.Accepted)
+		c.applyAccepted(*m.Accepted)
 	case m.Claims != nil:
 		for _, claim := range m.Claims {
 			c.handleClaim(from, claim)
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -125,6 +125,14 @@
 // to their watches: the team's leader starts it, and any other may receive a submission that
 // depends on it a moment later.
 func (c *Core) broadcastAccepted(item protocol.KeyValue) {
-	c.onPut(item)
+	c.applyAccepted(item)
 	c.broadcast(PeerMessage{Accepted: &item})
 }
+
+// applyAccepted applies the head of an accepted job ahead of the watch. If the replica reflects the
+// acceptance already, it holds the job, or the job has ended and must not be restored.
+func (c *Core) applyAccepted(item protocol.KeyValue) {
+	if !c.replica.reflects(item.Version) {
+		c.onPut(item)
+	}
+}
