Read the list of keys again if it breaks off before its last page

Callers could see jobs and leaders vanish on one controller until it reads the state again. The state service of the protocol sends no such answer.

Change: a page that announces more has to lead to a key after the previous page, as the list of machines does already; otherwise the list is read again.

--- a/internal/core/simlists_test.go
+++ b/internal/core/simlists_test.go
@@ -38,7 +38,7 @@
 	case list.Pages() > 0 && cluster.holdNextPage != nil && cluster.holdNextPage(node):
 		return
 	}
-	list.AddPage(cluster.listKeys(list.LastKey()))
+	cluster.addPage(&list.Assembler)
 	if !list.HasAllPages() {
 		return
 	}
@@ -54,6 +54,13 @@
 	}
 }
 
+// addPage adds the next page of replicated keys to a list.
+func (cluster *simCluster) addPage(list *snapshot.Assembler) {
+	if err := list.AddPage(cluster.listKeys(list.LastKey())); err != nil {
+		cluster.t.Fatal(err)
+	}
+}
+
 // listKeys returns the page of replicated keys that begins after a key.
 func (cluster *simCluster) listKeys(after string) protocol.KeyList {
 	page := protocol.KeyList{Revision: cluster.revision}
@@ -74,7 +81,7 @@
 func (cluster *simCluster) snapshot() SnapshotLoaded {
 	var list snapshot.Assembler
 	for !list.HasAllPages() {
-		list.AddPage(cluster.listKeys(list.LastKey()))
+		cluster.addPage(&list)
 	}
 	return SnapshotLoaded{Revision: list.Revision(), Items: list.Items()}
 }
--- a/internal/snapshot/assembler.go
+++ b/internal/snapshot/assembler.go
@@ -4,12 +4,17 @@
 package snapshot
 
 import (
+	"errors"
 	"maps"
 	"slices"
 
 	"pepperlever/internal/protocol"
 )
 
+// ErrListBrokenOff means that a page announces further ones but does not lead to them, since it has no
+// key after the previous page.
+var ErrListBrokenOff = errors.New("list breaks off before its last page")
+
 // Assembler joins the pages of a list, and the changes made while they were read. The zero value is
 // ready for use.
 type Assembler struct {
@@ -24,8 +29,9 @@
 	changesUntil uint64
 }
 
-// AddPage adds the page that begins after LastKey.
-func (a *Assembler) AddPage(page protocol.KeyList) {
+// AddPage adds the page that begins after LastKey. It fails with ErrListBrokenOff if the list cannot be
+// continued: keys that are missing from it would count as deleted.
+func (a *Assembler) AddPage(page protocol.KeyList) error {
 	if a.pages == 0 {
 		a.items = map[string]protocol.KeyValue{}
 		a.oldestPage = page.Revision
@@ -33,11 +39,16 @@
 	a.pages++
 	a.oldestPage = min(a.oldestPage, page.Revision)
 	a.newestPage = max(a.newestPage, page.Revision)
+	previousKey := a.lastKey
 	for _, item := range page.Items {
 		a.items[item.Key] = item
 		a.lastKey = item.Key
 	}
-	a.complete = !page.More || len(page.Items) == 0
+	if page.More && a.lastKey <= previousKey {
+		return ErrListBrokenOff
+	}
+	a.complete = !page.More
+	return nil
 }
 
 // AddChanges applies the changes after Revision to the pages. All of them are applied, including those
--- a/internal/snapshot/assembler_test.go
+++ b/internal/snapshot/assembler_test.go
@@ -1,6 +1,7 @@
 package snapshot
 
 import (
+	"errors"
 	"os"
 	"slices"
 	"strings"
@@ -66,7 +67,9 @@
 		var state Assembler
 		for !state.HasAllPages() {
 			limit := rapid.IntRange(1, 4).Draw(t, "limit")
-			state.AddPage(kv.List(prefix, state.LastKey(), limit))
+			if err := state.AddPage(kv.List(prefix, state.LastKey(), limit)); err != nil {
+				t.Fatal(err)
+			}
 			writeSome()
 		}
 		for !state.IsConsistent() {
@@ -80,3 +83,22 @@
 		}
 	})
 }
+
+// Guards against a list that counts as complete though pages are missing, so that their keys would count as
+// deleted; and against reading the same page for ever.
+func TestListThatBreaksOffIsNotComplete(t *testing.T) {
+	first := protocol.KeyList{Items: []protocol.KeyValue{{Key: "j/a"}, {Key: "j/b"}}, More: true}
+	for name, page := range map[string]protocol.KeyList{
+		"no keys, but more to come":  {More: true},
+		"the same page again":        first,
+		"a page before the last key": {Items: []protocol.KeyValue{{Key: "j/a"}}, More: true},
+	} {
+		var state Assembler
+		if err := state.AddPage(first); err != nil {
+			t.Fatal(err)
+		}
+		if err := state.AddPage(page); !errors.Is(err, ErrListBrokenOff) || state.HasAllPages() {
+			t.Errorf("%s: got error %v and complete %v, want ErrListBrokenOff and false", name, err, state.HasAllPages())
+		}
+	}
+}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -89,7 +89,9 @@
 		if err != nil {
 			return nil, err
 		}
-		state.AddPage(page)
+		if err := state.AddPage(page); err != nil {
+			return nil, err
+		}
 	}
 	return state, nil
 }
