--- a/internal/core/handoffs.go
+++ b/internal/core/handoffs.go
@@ -191,7 +191,7 @@
 // record yet.
 func (c *Core) onHandedOff(j *job.Job) {
 	c.handoffs.unconfirmed[j.ID] = c.now.Steady
-	for i, b := range j.Bound {
+	for i, b := range ordered(j.Bound) {
 		if !b.Stored {
 			c.unbind(j, i)
 		}
--- a/internal/core/jobupdatereply.go
+++ b/internal/core/jobupdatereply.go
@@ -95,7 +95,7 @@
 	if slices.Contains(failed, outgoingKey(j.ID)) {
 		w.core.onHandedOff(j)
 	}
-	for i, b := range j.Bound {
+	for i, b := range ordered(j.Bound) {
 		if !b.Stored && slices.Contains(failed, keyCordon+b.Machine) {
 			w.core.autoscaler.beginCordon(b.Machine, w.now.Steady)
 			w.core.unbind(j, i)
