Log a core that makes no progress, with the stack of its goroutine

The core now counts the units of work that it finishes (commands, stored items, jobs, demands, effects), and a watchdog logs three controller leases without any, once, with the stack. It counts its own checks, so a process that was suspended isn't reported.

Behaviour is unchanged.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/jobstats"
 	"pepperlever/internal/core/worker"
+	"pepperlever/internal/progress"
 	"pepperlever/internal/settings"
 )
 
@@ -136,16 +137,25 @@
 	c.effects = nil
 	for _, cmd := range commands {
 		c.handle(cmd)
+		c.progress.Advance()
 	}
 	c.runPeriodicWork()
+	c.progress.Advance()
 	c.federation.run()
+	c.progress.Advance()
 	c.schedule()
+	c.progress.Advance()
 	c.lookups.sendDue()
 	c.broadcastClaims()
 	c.writer.flushJobs()
+	c.progress.Advance()
 	return c.effects
 }
 
+// Progress returns the counter of the finished units of work. Other goroutines may read it while a step
+// runs.
+func (c *Core) Progress() *progress.Counter { return c.progress }
+
 // handle dispatches a command to the component that handles it.
 func (c *Core) handle(cmd Command) {
 	switch m := cmd.(type) {
--- a/internal/core/environment.go
+++ b/internal/core/environment.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pepperlever/internal/progress"
 	"pepperlever/internal/settings"
 )
 
@@ -15,6 +16,9 @@
 
 	now     Now
 	effects []Effect
+	// progress counts the units of work that the steps have finished. It is advanced in loops that
+	// are certain to end, so that a step that is only long shows progress.
+	progress *progress.Counter
 	// ids generates the IDs of store requests and other identifiers that are unique within
 	// this run of the process.
 	ids            sequence
@@ -26,6 +30,7 @@
 		cfg:            cfg,
 		policy:         policy,
 		times:          workerTimes{cfg},
+		progress:       &progress.Counter{},
 		pendingReplies: pendingReplies{},
 	}
 }
--- a/internal/core/jobflush.go
+++ b/internal/core/jobflush.go
@@ -36,6 +36,7 @@
 		}
 		w.core.dropConflictingClaims(j)
 		w.flushJob(w.core.teamsByName[j.Team], j)
+		w.progress.Advance()
 	}
 }
 
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -111,6 +111,7 @@
 		}
 		for _, j := range ordered(t.jobs) {
 			r.reconcileJob(j)
+			r.core.progress.Advance()
 		}
 	}
 	r.core.returnTracker.flush()
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -70,6 +70,7 @@
 		if !stored[key] {
 			c.onDelete(key, m.Revision)
 		}
+		c.progress.Advance()
 	}
 	c.replica.reloading = false
 	c.applyItems(m.Items)
@@ -94,6 +95,7 @@
 			continue
 		}
 		c.onPut(item)
+		c.progress.Advance()
 	}
 	for _, item := range leaders {
 		c.onPut(item)
--- a/internal/core/scaleout.go
+++ b/internal/core/scaleout.go
@@ -31,7 +31,8 @@
 	pending := c.pendingCapacity()
 	offers := c.offers(c.backlog(demand, pending))
 	requests := int(max(1, c.cfg.Params.Cloud.RPS))
-	for _, order := range scaling.Plan(demand, pending, c.preemptibleBestEffortHosts(), offers, requests*protocol.MaxRental) {
+	orders := scaling.Plan(demand, pending, c.preemptibleBestEffortHosts(), offers, requests*protocol.MaxRental, c.progress)
+	for _, order := range orders {
 		for ; order.Count > 0 && requests > 0; requests-- {
 			batch := order
 			batch.Count = min(order.Count, protocol.MaxRental)
--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -10,6 +10,7 @@
 	"pepperlever/internal/core/catalog"
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/placement"
+	"pepperlever/internal/progress"
 	"pepperlever/internal/protocol"
 )
 
@@ -95,8 +96,9 @@
 
 // Plan returns the machines to order for demand that the pending machines cannot hold, from the
 // cheapest offers. Demand above BestEffort may also use the resources of preemptible hosts, where
-// best-effort tasks can be preempted for it. At most limit machines of each offer are ordered.
-func Plan(demands []Demand, pending, preemptible []*placement.Host, offers []Offer, limit int) []Order {
+// best-effort tasks can be preempted for it. At most limit machines of each offer are ordered. Each
+// demand counts as a unit of work in finished.
+func Plan(demands []Demand, pending, preemptible []*placement.Host, offers []Offer, limit int, finished *progress.Counter) []Order {
 	p := planner{
 		hosts:       slices.Clone(pending),
 		preemptible: preemptible,
@@ -106,6 +108,7 @@
 	}
 	for _, d := range byEntitlement(demands) {
 		p.cover(d)
+		finished.Advance()
 	}
 	return p.orders()
 }
--- a/internal/core/scaling/plan_test.go
+++ b/internal/core/scaling/plan_test.go
@@ -6,6 +6,7 @@
 
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/placement"
+	"pepperlever/internal/progress"
 	"pepperlever/internal/protocol"
 )
 
@@ -21,6 +22,11 @@
 	return Demand{Spec: &job.Spec{Need: job.Resources{CPUs: cpus, MemoryGB: 1}, Spot: spot}, Tasks: tasks}
 }
 
+// plan plans with at most nine machines of each offer.
+func plan(demands []Demand, pending, preemptible []*placement.Host, offers []Offer) []Order {
+	return Plan(demands, pending, preemptible, offers, 9, &progress.Counter{})
+}
+
 func TestPlanOrdersCheapestAllowedOffer(t *testing.T) {
 	for name, c := range map[string]struct {
 		demand Demand
@@ -33,7 +39,7 @@
 		"large tasks":          {demand(16, 2, true), "large", true, 1},
 		"large tasks, no spot": {demand(16, 3, false), "large", false, 2},
 	} {
-		got := Plan([]Demand{c.demand}, nil, nil, offers(), 9)
+		got := plan([]Demand{c.demand}, nil, nil, offers())
 		if len(got) != 1 || got[0].Offer.Type.Name != c.typ || got[0].Offer.Spot != c.spot || got[0].Count != c.count {
 			t.Errorf("%s: got orders %+v, want the cheapest allowed offer only", name, got)
 		}
@@ -43,7 +49,7 @@
 func TestPlanCountsPendingMachines(t *testing.T) {
 	capacity := job.Resources{CPUs: 32, MemoryGB: 128}
 	pending := []*placement.Host{{Type: "large", Zone: "a", Spot: true, Free: capacity, Capacity: capacity, RemainingS: -1}}
-	if got := Plan([]Demand{demand(16, 2, true)}, pending, nil, offers(), 9); len(got) != 0 {
+	if got := plan([]Demand{demand(16, 2, true)}, pending, nil, offers()); len(got) != 0 {
 		t.Errorf("got orders %+v, want none", got)
 	}
 }
@@ -65,14 +71,14 @@
 		"at risk":          {atRisk, 1},
 		"may not use spot": {demand(2, 2, false), 1},
 	} {
-		if got := Plan([]Demand{c.demand}, nil, nil, expensive, 9); len(got) != c.orders {
+		if got := plan([]Demand{c.demand}, nil, nil, expensive); len(got) != c.orders {
 			t.Errorf("%s: got unexpected number of orders: %+v", name, got)
 		}
 	}
 }
 
 func TestPlanOrdersNothingForTasksThatFitNoType(t *testing.T) {
-	if got := Plan([]Demand{demand(64, 1, true)}, nil, nil, offers(), 9); len(got) != 0 {
+	if got := plan([]Demand{demand(64, 1, true)}, nil, nil, offers()); len(got) != 0 {
 		t.Errorf("got orders %+v, want none", got)
 	}
 }
@@ -85,7 +91,7 @@
 	d := demand(16, 2, true)
 	for entitlement, want := range map[Entitlement]int{BestEffort: 1, Standard: 0, AtRisk: 0} {
 		d.Entitlement = entitlement
-		if got := Plan([]Demand{d}, nil, preemptible, offers(), 9); len(got) != want {
+		if got := plan([]Demand{d}, nil, preemptible, offers()); len(got) != want {
 			t.Errorf("entitlement %d: got %d orders, want %d", entitlement, len(got), want)
 		}
 	}
@@ -121,7 +127,7 @@
 	} {
 		c.spec.Need = job.Resources{CPUs: 4, MemoryGB: 1}
 		got := map[string]int{}
-		for _, o := range Plan([]Demand{{Spec: &c.spec, Tasks: 4, Zones: c.zones}}, c.pending, nil, c.offers, 9) {
+		for _, o := range plan([]Demand{{Spec: &c.spec, Tasks: 4, Zones: c.zones}}, c.pending, nil, c.offers) {
 			got[o.Offer.Zone] += o.Count
 		}
 		if !maps.Equal(got, c.want) {
@@ -157,7 +163,7 @@
 			PreemptionLoss:       c.loss,
 			PreemptionLossPerCPU: c.perCPU,
 		}}
-		if got := Plan([]Demand{d}, nil, preemptible, offers(), 9); len(got) != c.orders {
+		if got := plan([]Demand{d}, nil, preemptible, offers()); len(got) != c.orders {
 			t.Errorf("%s: got %d orders, want %d", name, len(got), c.orders)
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"pepperlever/internal/core"
 	"pepperlever/internal/federation/transport"
 	"pepperlever/internal/peer"
+	"pepperlever/internal/progress"
 	"pepperlever/internal/settings"
 	"pepperlever/internal/store"
 	"pepperlever/internal/workerclient"
@@ -30,6 +31,13 @@
 	batchLength = 256
 )
 
+// A stall of the core is reported after stallLeases controller leases without progress, which is checked
+// checksPerLease times in each.
+const (
+	stallLeases    = 3
+	checksPerLease = 3
+)
+
 // Daemon is a running controller: the core and its adapters.
 type Daemon struct {
 	queue        chan core.Command
@@ -71,6 +79,7 @@
 
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.runCore(ctx) })
+	g.Go(func() error { return d.watchdog(cfg).Run(ctx) })
 	g.Go(func() error { return d.api.Run(ctx) })
 	g.Go(func() error { return d.store.Run(ctx) })
 	g.Go(func() error { return d.cloud.Run(ctx) })
@@ -81,6 +90,11 @@
 	return g.Wait()
 }
 
+// watchdog returns a watchdog for the goroutine that owns the core.
+func (d *Daemon) watchdog(cfg *settings.Settings) *progress.Watchdog {
+	return progress.NewWatchdog(d.core.Progress(), "(*Daemon).runCore", cfg.ControllerLease()/checksPerLease, stallLeases*checksPerLease)
+}
+
 // tryEnqueue enqueues a command, and reports false if the queue is full.
 func (d *Daemon) tryEnqueue(c core.Command) bool {
 	select {
@@ -120,6 +134,7 @@
 		now := core.Now{Steady: time.Since(d.startedAt), Wall: time.Now().UnixMilli()}
 		for _, e := range d.core.Step(now, batch) {
 			d.execute(e)
+			d.core.Progress().Advance()
 		}
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -66,6 +67,15 @@
 	return out
 }
 
+// leasesPerWorkerLease is the number of controller leases in the lease of a worker. A controller lease
+// is short, since its early end costs no more than a change of leaders.
+const leasesPerWorkerLease = 8
+
+// ControllerLease returns the time to live of a controller's lease in the store.
+func (s *Settings) ControllerLease() time.Duration {
+	return time.Duration(s.Params.Workers.LeaseS * float64(time.Second) / leasesPerWorkerLease)
+}
+
 // lowerLimit returns the lower of the current limit and the next one; 0 means no next one.
 func lowerLimit[T int | float64](now, next T) T {
 	if next > 0 && next < now {
--- a/internal/store/lease.go
+++ b/internal/store/lease.go
@@ -35,7 +35,7 @@
 	var lease leaseID
 	results := make(chan renewalResult, 1)
 	for ctx.Err() == nil {
-		interval := s.leaseTTL() / 3
+		interval := s.cfg.ControllerLease() / 3
 		if lease == 0 {
 			if lease = s.acquireLease(); lease == 0 {
 				interval = s.retryInterval()
@@ -52,7 +52,7 @@
 // acquireLease requests a new lease. It returns 0 if none was granted.
 func (s *Store) acquireLease() leaseID {
 	var granted protocol.LeaseGranted
-	request := protocol.LeaseGrant{TTLMillis: s.leaseTTL().Milliseconds()}
+	request := protocol.LeaseGrant{TTLMillis: s.cfg.ControllerLease().Milliseconds()}
 	status, err := s.requestClient.call(fasthttp.MethodPost, protocol.PathLeases, request, &granted)
 	if err != nil || status != fasthttp.StatusOK || granted.Lease == 0 {
 		return 0
@@ -86,7 +86,7 @@
 				s.emit(core.LeaseExpired{})
 				return 0
 			case r.failed():
-				due.Reset(s.leaseTTL() / 10)
+				due.Reset(s.cfg.ControllerLease() / 10)
 			}
 		case <-due.C:
 			return lease
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -80,12 +80,6 @@
 	return time.Duration(controllers * float64(time.Second) / (watchShare * s.cfg.Params.State.RPS))
 }
 
-// leaseTTL returns the time to live of this node's lease. It is short, since an early expiry
-// costs no more than a change of leaders.
-func (s *Store) leaseTTL() time.Duration {
-	return time.Duration(s.cfg.Params.Workers.LeaseS * float64(time.Second) / 8)
-}
-
 // Run keeps the lease, follows changes and sends queued requests until ctx is done.
 func (s *Store) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
