Let one function decide whether amounts fit, so that a plan of rentals ends

Cause: planner.cover looped while Picker.Next found a host that fits (an error of 1e-6 of a CPU), and allocated what FitCount counted (1e-6 of a task), which was none: 24 times 0.6666667 is 16.0000008.

Now Fits, FitCount and the limits of teams follow from one comparison, and the loops end whatever it says: Picker.Take returns a host once, and a pass of placeAll lowers a count or removes a job.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"pepperlever/internal/core/job"
-	"pepperlever/internal/core/placement"
 	"pepperlever/internal/protocol"
 )
 
@@ -99,7 +98,7 @@
 		if !s.Need.Fits(capacity) || s.Types != nil && !slices.Contains(s.Types, name) {
 			continue
 		}
-		price := t.Price / float64(placement.FitCount(s.Need, capacity))
+		price := t.Price / float64(s.Need.FitCount(capacity))
 		if price < leastPrice {
 			cheapest, leastPrice = name, price
 		}
--- a/internal/core/job/spec.go
+++ b/internal/core/job/spec.go
@@ -26,32 +26,6 @@
 // kindNames holds the wire name of each Kind.
 var kindNames = []string{protocol.KindArray, protocol.KindGang, protocol.KindService}
 
-// Resources is an amount of each resource that a task requests or a machine provides.
-type Resources struct {
-	CPUs     float64 `json:"c"`
-	GPUs     float64 `json:"g,omitempty"`
-	MemoryGB float64 `json:"m"`
-}
-
-// roundingTolerance absorbs floating-point rounding errors in sums of resource amounts.
-const roundingTolerance = 1e-6
-
-// Fits reports whether r fits into the free resources.
-func (r Resources) Fits(free Resources) bool {
-	return r.CPUs <= free.CPUs+roundingTolerance &&
-		r.GPUs <= free.GPUs+roundingTolerance &&
-		r.MemoryGB <= free.MemoryGB+roundingTolerance
-}
-
-// Plus returns r plus factor times other.
-func (r Resources) Plus(other Resources, factor float64) Resources {
-	return Resources{
-		CPUs:     r.CPUs + factor*other.CPUs,
-		GPUs:     r.GPUs + factor*other.GPUs,
-		MemoryGB: r.MemoryGB + factor*other.MemoryGB,
-	}
-}
-
 // Spec is the description of a job as it was accepted. It does not change afterwards.
 type Spec struct {
 	ID       string    `json:"-"`
--- a/internal/core/pendingtasks.go
+++ b/internal/core/pendingtasks.go
@@ -1,7 +1,5 @@
 package core
 
-import "pepperlever/internal/core/job"
-
 // PendingTasks counts pending tasks by what they wait for.
 type PendingTasks struct {
 	// Dependencies counts the tasks of jobs that are blocked by dependencies.
@@ -50,12 +48,3 @@
 	}
 	return pending
 }
-
-// tasksWithinLimit returns how many of n tasks fit within a team's limit in addition to what it
-// uses.
-func tasksWithinLimit(t *team, used, need job.Resources, n int) (allowed int) {
-	for allowed < n && withinLimit(t, used.Plus(need, float64(allowed+1))) {
-		allowed++
-	}
-	return allowed
-}
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -17,6 +17,8 @@
 	ranked []rankedHost
 	// complete is set when the latest ranking included every feasible host.
 	complete bool
+	// taken holds the hosts that Take has returned.
+	taken map[*Host]bool
 }
 
 // rankedHost is a host with its score and its index in the list of hosts.
@@ -46,11 +48,26 @@
 	}
 }
 
-// rank sets ranked to the n best feasible hosts.
+// Take returns the same host as Next, but returns each host only once, so that a loop over it ends
+// whatever the caller allocates.
+func (p *Picker) Take(n int, zones Zones) *Host {
+	host := p.Next(n, zones)
+	if host == nil {
+		return nil
+	}
+	if p.taken == nil {
+		p.taken = map[*Host]bool{}
+	}
+	p.taken[host] = true
+	p.ranked = p.ranked[1:]
+	return host
+}
+
+// rank sets ranked to the n best feasible hosts that have not been taken.
 func (p *Picker) rank(n int, zones Zones) {
 	best := worstFirst{}
 	for i, h := range p.hosts {
-		if !Feasible(p.spec, h, zones) {
+		if p.taken[h] || !Feasible(p.spec, h, zones) {
 			continue
 		}
 		candidate := rankedHost{h, score(p.spec, h), i}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"pepperlever/internal/core/job"
@@ -19,8 +18,6 @@
 	taskOverheadBytes = 6
 	// maxReservedShare is the maximum fraction of the hosts of one size that may be reserved.
 	maxReservedShare = 1.0 / 2
-	// fitTolerance compensates for rounding errors when tasks are counted, as a fraction of a task.
-	fitTolerance = 1e-6
 )
 
 // Weights of the terms in a host's score.
@@ -221,18 +218,3 @@
 		h.Penalty += surplusPenalty
 	}
 }
-
-// FitCount returns how many tasks with the given need fit into the free resources, at most
-// job.MaxTasks.
-func FitCount(need, free job.Resources) int {
-	count := float64(job.MaxTasks)
-	limitBy := func(need, free float64) {
-		if need > 0 {
-			count = math.Min(count, math.Floor(free/need+fitTolerance))
-		}
-	}
-	limitBy(need.CPUs, free.CPUs)
-	limitBy(need.GPUs, free.GPUs)
-	limitBy(need.MemoryGB, free.MemoryGB)
-	return int(max(0, count))
-}
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -16,9 +16,9 @@
 	picker *placement.Picker
 	// unstoredMachines is the set of machines with bindings of this job that are not stored yet.
 	unstoredMachines map[string]bool
-	// leftToOtherLeaders counts the tasks that this round has placed but that another leader has
-	// to bind.
-	leftToOtherLeaders int
+	// unplaced is the number of startable tasks that the round has not placed yet. Each placement
+	// lowers it, so that the round ends.
+	unplaced int
 }
 
 // placementFor returns the job's state in this round, creating it on first use.
@@ -31,6 +31,7 @@
 		zones:            r.tasksByZone(j),
 		picker:           placement.NewPicker(j.EffectiveSpec(), hosts),
 		unstoredMachines: map[string]bool{},
+		unplaced:         r.core.startAllowance(j),
 	}
 	for _, b := range j.Bound {
 		if !b.Stored {
@@ -49,7 +50,7 @@
 	for len(queue.jobs) > 0 && queue.jobs[0].Rank() == priority {
 		j := queue.jobs[0]
 		need, placed := r.tryPlace(queue, j)
-		if !placed || r.unplacedTasks(j, queue.placements[j.ID]) == 0 {
+		if !placed || queue.placements[j.ID].unplaced <= 0 {
 			queue.jobs = queue.jobs[1:]
 		}
 		if placed {
@@ -78,11 +79,12 @@
 	if !r.mayPlace(queue, j, p, need) {
 		return job.Resources{}, false
 	}
-	chosen := p.choose(j, tasks, r.unplacedTasks(j, p), r.openHosts)
-	if chosen == nil {
+	chosen := p.choose(j, tasks, r.openHosts)
+	if len(chosen) == 0 {
 		r.handleUnplaced(queue, j, p)
 		return job.Resources{}, false
 	}
+	p.unplaced -= len(chosen)
 	queue.usage = queue.usage.Plus(need, 1)
 	r.bindAll(queue, j, p, chosen)
 	return need, true
@@ -104,18 +106,12 @@
 	return withinLimit(queue.team, queue.usage.Plus(need, 1)) && len(p.unstoredMachines) < maxUnstored
 }
 
-// unplacedTasks is the number of startable tasks of a job that the round has not placed yet.
-func (r *round) unplacedTasks(j *job.Job, p *jobPlacement) int {
-	return r.core.startAllowance(j) - p.leftToOtherLeaders
-}
-
-// choose finds hosts for a number of tasks of a job and allocates their capacity. unplaced is the
-// total number of tasks of the job that are still to be placed.
-func (p *jobPlacement) choose(j *job.Job, tasks, unplaced int, hosts []*placement.Host) []*placement.Host {
+// choose finds hosts for a number of tasks of a job and allocates their capacity.
+func (p *jobPlacement) choose(j *job.Job, tasks int, hosts []*placement.Host) []*placement.Host {
 	if tasks > 1 || j.Kind == job.Gang {
 		return placement.PlaceGang(&j.Spec, tasks, hosts, p.zones)
 	}
-	host := p.picker.Next(unplaced, p.zones)
+	host := p.picker.Next(p.unplaced, p.zones)
 	if host == nil {
 		return nil
 	}
@@ -125,10 +121,9 @@
 }
 
 // bindAll binds the next pending tasks of a job to the chosen hosts if this node leads the team.
-// Otherwise it only counts the tasks as placed, since the team's leader binds them.
+// Otherwise the team's leader binds them.
 func (r *round) bindAll(queue *teamQueue, j *job.Job, p *jobPlacement, chosen []*placement.Host) {
 	if !queue.team.leading {
-		p.leftToOtherLeaders += len(chosen)
 		return
 	}
 	c := r.core
@@ -160,8 +155,8 @@
 	if j.Suspected && fitsAnyWhenEmpty(&j.Spec, r.openHosts) {
 		return
 	}
-	r.addUnplacedDemand(queue, j, r.unplacedTasks(j, p))
-	r.requestReservation(j, r.unplacedTasks(j, p))
+	r.addUnplacedDemand(queue, j, p.unplaced)
+	r.requestReservation(j, p.unplaced)
 	r.unschedulable.add(j, r.isSpotOnly(queue, j))
 }
 
--- a/internal/core/randomscenarios_test.go
+++ b/internal/core/randomscenarios_test.go
@@ -98,6 +98,8 @@
 	firstCancelReports map[string]time.Duration
 	// cancelAtEndUntil is the time until which jobs are cancelled as their last task completes.
 	cancelAtEndUntil time.Duration
+	// fractionalAmounts makes the tasks of all jobs take amounts that are no whole numbers.
+	fractionalAmounts bool
 	// recorder hashes the effects of the controllers.
 	recorder *effectRecorder
 }
--- a/internal/core/randomusers_test.go
+++ b/internal/core/randomusers_test.go
@@ -46,6 +46,9 @@
 			extraFields = jobVariants[step.Variant]
 		}
 		extraFields += r.randomDependencies(step.Dependencies)
+		if r.fractionalAmounts {
+			extraFields += r.randomAmounts()
+		}
 		body := []byte(submission(id, team, step.Tasks, extraFields))
 		if r.requestAndWait(node, func(req uint64) Command { return Submit{Req: req, Body: body} }).Status == http.StatusCreated {
 			r.acceptedJobs = append(r.acceptedJobs, id)
@@ -56,6 +59,20 @@
 	}
 }
 
+// Amounts of a task that are no whole numbers: in single precision, almost nothing, almost that of a
+// plain task, and three of them almost the memory of a machine.
+var (
+	fractionalCPUs     = []string{"0.6666667", "0.3333334", "1.3333334", "0.000000001", "1.9999995", "0.0"}
+	fractionalMemories = []string{"1.0", "5.3333335", "0.0000005"}
+)
+
+// randomAmounts returns the submission fields with amounts that are no whole numbers.
+func (r *randomScenario) randomAmounts() string {
+	cpus := fractionalCPUs[r.rng.IntN(len(fractionalCPUs))]
+	memory := fractionalMemories[r.rng.IntN(len(fractionalMemories))]
+	return fmt.Sprintf(`,"vcpus":%s,"memoryGb":%s`, cpus, memory)
+}
+
 // randomDependencies returns the submission field that makes a job depend on up to n earlier jobs,
 // in any state.
 func (r *randomScenario) randomDependencies(n int) string {
--- a/internal/core/reservations.go
+++ b/internal/core/reservations.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		if name := types.CheapestFor(&j.Spec); name != "" {
-			perMachine := placement.FitCount(j.Need, types.Capacity(name))
+			perMachine := j.Need.FitCount(types.Capacity(name))
 			gpuNeed[name] += float64(j.Tasks-j.Done.Len()) / float64(perMachine)
 			r.gpuSpotAllowed[name] = r.gpuSpotAllowed[name] || j.Spot
 		}
@@ -243,7 +243,7 @@
 
 // serviceHostOf computes the capacity for service replicas on a host.
 func serviceHostOf(s *job.Spec, h *placement.Host, load *job.Load) serviceHost {
-	out := serviceHost{Host: h, slots: placement.FitCount(s.Need, h.Free)}
+	out := serviceHost{Host: h, slots: s.Need.FitCount(h.Free)}
 	if out.slots > 0 || load == nil {
 		return out
 	}
@@ -254,7 +254,7 @@
 			out.arrayMilliCPUs += int(1000 * ref.Job.Need.CPUs)
 		}
 	}
-	out.slots = placement.FitCount(s.Need, free)
+	out.slots = s.Need.FitCount(free)
 	return out
 }
 
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -189,7 +189,7 @@
 }
 
 // placeAll repeatedly lets the ranking pick a team and places that team's first job that fits,
-// until no job of any team fits.
+// until no job of any team fits. It ends since each pass places a task or removes a job from its queue.
 func (r *round) placeAll() {
 	total := totalCapacity(r.core.machines, r.core.catalog)
 	finished := make([]bool, len(r.queues))
@@ -199,6 +199,7 @@
 			return
 		}
 		need, placed := r.placeNext(r.queues[i])
+		r.core.progress.Advance()
 		finished[i] = len(r.queues[i].jobs) == 0
 		if placed {
 			ranked := &r.ranking[i]
--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -133,7 +133,7 @@
 	remaining := d.Tasks
 	picker := placement.NewPicker(d.Spec, constraint.filterHosts(candidates))
 	for remaining > 0 {
-		host := picker.Next(remaining, constraint.tasksByZone)
+		host := picker.Take(remaining, constraint.tasksByZone)
 		if host == nil {
 			break
 		}
@@ -217,12 +217,12 @@
 	capacity := map[string]int{}
 	for _, h := range hosts {
 		if placement.Feasible(d.Spec, h, nil) {
-			capacity[h.Zone] += placement.FitCount(d.Spec.Need, h.Free)
+			capacity[h.Zone] += d.Spec.Need.FitCount(h.Free)
 		}
 	}
 	for _, o := range p.offers {
 		if d.mayUse(o) {
-			capacity[o.Zone] += p.limit * placement.FitCount(d.Spec.Need, o.Capacity())
+			capacity[o.Zone] += p.limit * d.Spec.Need.FitCount(o.Capacity())
 		}
 	}
 	return capacity
@@ -258,7 +258,7 @@
 // allocate places as many of n identical tasks on a host as fit there and are allowed in its zone,
 // and returns their number.
 func (z *zoneConstraint) allocate(h *placement.Host, n int) int {
-	n = min(n, placement.FitCount(z.spec.Need, h.Free), placement.ZoneAllowance(z.spec, h.Zone, z.tasksByZone))
+	n = min(n, z.spec.Need.FitCount(h.Free), placement.ZoneAllowance(z.spec, h.Zone, z.tasksByZone))
 	h.Free = h.Free.Plus(z.spec.Need, -float64(n))
 	z.tasksByZone[h.Zone] += n
 	return n
@@ -283,7 +283,7 @@
 		if p.counts[i] >= p.limit || !d.mayUse(o) || !constraint.allows(o.Zone) {
 			continue
 		}
-		fit := min(placement.FitCount(d.Spec.Need, o.Capacity()), max(tasks, 1))
+		fit := min(d.Spec.Need.FitCount(o.Capacity()), max(tasks, 1))
 		price := o.Price() / float64(fit)
 		if best >= 0 && o.Type.CPUs > p.offers[best].Type.CPUs {
 			price *= largerTypePenalty
--- a/internal/core/scaling/plan_test.go
+++ b/internal/core/scaling/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"testing"
+	"time"
 
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/placement"
@@ -168,3 +169,32 @@
 		}
 	}
 }
+
+// Guards against a plan that never ends because one check of whether a task fits says yes and another
+// one no, which hung the fleet leader.
+func TestPlanEndsForAmountsThatRoundDifferently(t *testing.T) {
+	for name, c := range map[string]struct {
+		need     job.Resources
+		capacity job.Resources
+		tasks    int
+	}{
+		"two thirds of a CPU in single precision": {job.Resources{CPUs: 0.6666667, MemoryGB: 1}, job.Resources{CPUs: 16, MemoryGB: 64}, 33},
+		"a third of a CPU in single precision":    {job.Resources{CPUs: 0.3333334, MemoryGB: 1}, job.Resources{CPUs: 4, MemoryGB: 64}, 24},
+		"almost nothing on a full machine":        {job.Resources{CPUs: 1e-10}, job.Resources{}, 30},
+		"almost no memory on a full machine":      {job.Resources{CPUs: 1, MemoryGB: 5e-7}, job.Resources{CPUs: 16}, 30},
+		"almost a GPU on a machine without":       {job.Resources{CPUs: 1, GPUs: 5e-7}, job.Resources{CPUs: 16}, 30},
+		"more than all of a machine":              {job.Resources{CPUs: 16.0000005}, job.Resources{CPUs: 16}, 3},
+	} {
+		host := &placement.Host{ID: "m", Zone: "a", Free: c.capacity, Capacity: c.capacity, RemainingS: -1}
+		planned := make(chan []Order, 1)
+		go func() {
+			demands := []Demand{{Spec: &job.Spec{Tasks: c.tasks, Need: c.need}, Tasks: c.tasks}}
+			planned <- plan(demands, []*placement.Host{host}, nil, nil)
+		}()
+		select {
+		case <-planned:
+		case <-time.After(10 * time.Second):
+			t.Errorf("%s: the plan does not end", name)
+		}
+	}
+}
--- a/internal/core/submissioncheck.go
+++ b/internal/core/submissioncheck.go
@@ -17,9 +17,6 @@
 	errCannotSpread  = &rejection{http.StatusUnprocessableEntity, "its tasks would all be in one zone, over which they are to be spread"}
 )
 
-// limitTolerance allows for rounding errors in sums of resources.
-const limitTolerance = 1e-6
-
 // submissionCheck decides whether a job can ever run at this site. A job that only has to wait for
 // other tasks to end or for machines to be rented can run.
 type submissionCheck struct {
@@ -71,11 +68,3 @@
 	}
 	return len(zones)
 }
-
-// withinLimit reports whether a team's limits allow it to use the given resources. A limit of 0
-// means unlimited.
-func withinLimit(t *team, r job.Resources) bool {
-	cpus := t.CPUsMax <= 0 || r.CPUs <= t.CPUsMax+limitTolerance
-	gpus := t.GPUsMax <= 0 || r.GPUs <= t.GPUsMax+limitTolerance
-	return cpus && gpus
-}
