Renew a controller's lease only while its core makes progress, and end one that hangs

Cause: the lease was renewed by a goroutine that knows nothing of the core. Evidence: the core's stack is in an endless loop, and no controller logs a lease that ended.

Progress is what the core counts in loops that are certain to end, so a long step keeps the lease and an endless one doesn't.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,17 +31,24 @@
 	batchLength = 256
 )
 
-// A stall of the core is reported after stallLeases controller leases without progress, which is checked
-// checksPerLease times in each.
+// The process ends after stallLeases controller leases without progress of the core, which is checked
+// checksPerLease times in each. The controller's own lease has ended after one.
 const (
 	stallLeases    = 3
 	checksPerLease = 3
 )
 
+// stepper is the core as the loop uses it.
+type stepper interface {
+	Step(now core.Now, commands []core.Command) []core.Effect
+}
+
 // Daemon is a running controller: the core and its adapters.
 type Daemon struct {
+	cfg          *settings.Settings
 	queue        chan core.Command
-	core         *core.Core
+	core         stepper
+	progress     *progress.Counter
 	tickInterval time.Duration
 	startedAt    time.Time
 
@@ -55,31 +62,61 @@
 }
 
 // Run runs a controller until ctx is done. federationFile is the path of the federation
-// configuration; if it is empty, federation is off.
+// configuration; if it is empty, federation is off. If the core makes no progress, Run returns a
+// progress.StallError, and the process should end: a goroutine that hangs cannot be stopped.
 func Run(ctx context.Context, cfg *settings.Settings, policy settings.Policy, federationFile string) error {
 	configureRuntime(cfg)
-	d := &Daemon{queue: make(chan core.Command, queueLength), startedAt: time.Now()}
+	d, err := newDaemon(cfg, policy, federationFile)
+	if err != nil {
+		return err
+	}
+	return d.run(ctx)
+}
+
+// newDaemon returns a controller that does not run yet.
+func newDaemon(cfg *settings.Settings, policy settings.Policy, federationFile string) (*Daemon, error) {
+	d := &Daemon{cfg: cfg, queue: make(chan core.Command, queueLength), startedAt: time.Now()}
 	d.tickInterval = time.Duration(cfg.Params.Workers.ReportS * float64(time.Second) / 30)
-	d.core = core.New(cfg, policy, strconv.FormatUint(rand.Uint64(), 36))
+	c := core.New(cfg, policy, strconv.FormatUint(rand.Uint64(), 36))
+	d.core, d.progress = c, c.Progress()
 	emit := func(c core.Command) { d.queue <- c }
 	d.api = api.New(cfg, d.tryEnqueue)
-	d.store = store.New(cfg, core.Root, emit)
+	d.store = store.New(cfg, core.Root, d.progress, emit)
 	d.cloud = cloud.New(cfg, emit)
 	d.workers = workerclient.New(cfg, emit)
 	d.peers = peer.New(cfg, emit)
 	if federationFile != "" {
 		links, config, err := transport.New(federationFile, emit)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		d.siteLinks = links
-		d.core.EnableFederation(config)
+		c.EnableFederation(config)
 		d.api.WithFederation(links.Refused.Load)
 	}
+	return d, nil
+}
+
+// run runs the controller until ctx is done or the core makes no progress. In the second case it does
+// not wait for the goroutines, since the one that owns the core hangs.
+func (d *Daemon) run(ctx context.Context) error {
+	ended, stalled := make(chan error, 1), make(chan error, 1)
+	watchdogCtx, stopWatchdog := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWatchdog()
+	go func() { ended <- d.runGoroutines(ctx) }()
+	go func() { stalled <- d.watchdog().Run(watchdogCtx) }()
+	select {
+	case err := <-ended:
+		return err
+	case err := <-stalled:
+		return err
+	}
+}
 
+// runGoroutines runs the core and its adapters until ctx is done.
+func (d *Daemon) runGoroutines(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.runCore(ctx) })
-	g.Go(func() error { return d.watchdog(cfg).Run(ctx) })
 	g.Go(func() error { return d.api.Run(ctx) })
 	g.Go(func() error { return d.store.Run(ctx) })
 	g.Go(func() error { return d.cloud.Run(ctx) })
@@ -91,8 +128,8 @@
 }
 
 // watchdog returns a watchdog for the goroutine that owns the core.
-func (d *Daemon) watchdog(cfg *settings.Settings) *progress.Watchdog {
-	return progress.NewWatchdog(d.core.Progress(), "(*Daemon).runCore", cfg.ControllerLease()/checksPerLease, stallLeases*checksPerLease)
+func (d *Daemon) watchdog() *progress.Watchdog {
+	return progress.NewWatchdog(d.progress, "(*Daemon).runCore", d.cfg.ControllerLease()/checksPerLease, stallLeases*checksPerLease)
 }
 
 // tryEnqueue enqueues a command, and reports false if the queue is full.
@@ -134,7 +171,7 @@
 		now := core.Now{Steady: time.Since(d.startedAt), Wall: time.Now().UnixMilli()}
 		for _, e := range d.core.Step(now, batch) {
 			d.execute(e)
-			d.core.Progress().Advance()
+			d.progress.Advance()
 		}
 	}
 }
--- a/internal/progress/watchdog.go
+++ b/internal/progress/watchdog.go
@@ -46,7 +46,8 @@
 	return &Watchdog{counter: counter, function: function, interval: interval, limit: limit}
 }
 
-// Run checks the counter until ctx is done, and logs each stall once with the stack of the goroutine.
+// Run checks the counter until ctx is done. It logs a stall with the stack of the goroutine and returns
+// it as a StallError.
 func (w *Watchdog) Run(ctx context.Context) error {
 	ticker := time.NewTicker(w.interval)
 	defer ticker.Stop()
@@ -58,6 +59,7 @@
 		}
 		if stall := w.check(); stall != nil {
 			slog.Error("core makes no progress", "units", stall.Units, "checks", stall.Checks, "interval", stall.Interval, "stack", stackOf(w.function))
+			return stall
 		}
 	}
 }
@@ -70,7 +72,7 @@
 		return nil
 	}
 	w.idleChecks++
-	if w.idleChecks != w.limit {
+	if w.idleChecks < w.limit {
 		return nil
 	}
 	return &StallError{Units: units, Checks: w.idleChecks, Interval: w.interval}
--- a/internal/store/lease.go
+++ b/internal/store/lease.go
@@ -30,11 +30,12 @@
 // keepLease keeps a lease alive and notifies the core of each new one. A renewal is sent every
 // third of the lease's time to live, even if the previous one has not been answered: waiting
 // for the answer of a slow store would let the lease expire, and this node would lose all its
-// leaderships (docs/incidents/inc-5631.md).
+// leaderships (docs/incidents/inc-5631.md). Each renewal first waits for the core to make progress: a core
+// that hangs cannot act as a leader, so its lease must end (docs/incidents/stuck-core.md).
 func (s *Store) keepLease(ctx context.Context) error {
 	var lease leaseID
 	results := make(chan renewalResult, 1)
-	for ctx.Err() == nil {
+	for s.awaitProgress(ctx) {
 		interval := s.cfg.ControllerLease() / 3
 		if lease == 0 {
 			if lease = s.acquireLease(); lease == 0 {
@@ -49,6 +50,21 @@
 	return ctx.Err()
 }
 
+// progressChecksPerLease is how often in the time to live of a lease awaitProgress looks for progress.
+const progressChecksPerLease = 30
+
+// awaitProgress waits until the core finishes a unit of work. It reports false if ctx is done before.
+func (s *Store) awaitProgress(ctx context.Context) bool {
+	units := s.progress.Units()
+	for ctx.Err() == nil {
+		if s.progress.Units() != units {
+			return true
+		}
+		sleep(ctx, s.cfg.ControllerLease()/progressChecksPerLease)
+	}
+	return false
+}
+
 // acquireLease requests a new lease. It returns 0 if none was granted.
 func (s *Store) acquireLease() leaseID {
 	var granted protocol.LeaseGranted
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"pepperlever/internal/core"
+	"pepperlever/internal/progress"
 	"pepperlever/internal/settings"
 )
 
@@ -28,6 +29,8 @@
 	// root is the common prefix of all keys.
 	root string
 	emit func(core.Command)
+	// progress counts what the core has finished. The lease is renewed only while it advances.
+	progress *progress.Counter
 	// requestClient sends transactions, reads and lease requests. watchClient lists keys and
 	// sends watch requests, which stay open until there are changes.
 	requestClient   *client
@@ -41,12 +44,14 @@
 	urgent, normal chan func()
 }
 
-// New returns a Store that passes replies, changes and lease events to emit.
-func New(cfg *settings.Settings, root string, emit func(core.Command)) *Store {
+// New returns a Store that passes replies, changes and lease events to emit. progress counts what the
+// core has finished.
+func New(cfg *settings.Settings, root string, progress *progress.Counter, emit func(core.Command)) *Store {
 	s := &Store{
 		cfg:             cfg,
 		root:            root,
 		emit:            emit,
+		progress:        progress,
 		reloadRequested: make(chan struct{}, 1),
 		urgent:          make(chan func(), queueLength),
 		normal:          make(chan func(), queueLength),
