Call a request malformed only if it is, not if it was late or cut off

Users don't repeat what is malformed, so the job was lost.

Cause: every error of reading a request was answered with 400, a time-out of 3 s and a cut as well.

The reason now decides: malformed or too large 400 as before, late 408, which is repeated, cut off no response. Connections stay bounded by that time and by three quarters of max_connections. The emulated services use the same handler. Reasons are counted in pepperlever_unread_requests.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"slices"
 	"strings"
@@ -33,6 +34,8 @@
 	// tryEnqueue passes a command to the core, and reports false if the core's queue is full.
 	tryEnqueue func(core.Command) bool
 	metrics    metrics
+	// readTimeout is how long a request may take to arrive.
+	readTimeout time.Duration
 	// refusedFromSites returns how many connections, streams and messages of other sites
 	// were refused. It is nil without federation.
 	refusedFromSites func() int64
@@ -45,7 +48,13 @@
 
 // New returns an API that passes commands to the core with tryEnqueue.
 func New(cfg *settings.Settings, tryEnqueue func(core.Command) bool) *API {
-	return &API{cfg: cfg, tryEnqueue: tryEnqueue, metrics: newMetrics(), pending: map[uint64]chan core.Answer{}}
+	return &API{
+		cfg:         cfg,
+		tryEnqueue:  tryEnqueue,
+		metrics:     newMetrics(),
+		readTimeout: protocol.SubmitTimeout, // nobody waits longer for a response
+		pending:     map[uint64]chan core.Answer{},
+	}
 }
 
 // WithFederation enables the federation's metrics and operator endpoints. refused returns how
@@ -61,18 +70,19 @@
 	limit := a.cfg.Params.Limits.MaxConnections
 	timeout := a.answerTimeout()
 	s := &fasthttp.Server{
-		Handler:               a.handle,
-		ErrorHandler:          handleMalformedRequest,
-		Logger:                httpserver.DiscardLogger{},
-		MaxRequestBodySize:    protocol.MaxBody,
-		ReadBufferSize:        readBufferBytes,
-		Concurrency:           limit * 3 / 4,
-		ReadTimeout:           2 * timeout,
-		WriteTimeout:          timeout,
-		IdleTimeout:           20 * timeout,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		CloseOnShutdown:       true,
+		Handler:                      a.handle,
+		ErrorHandler:                 a.handleReadError,
+		Logger:                       httpserver.DiscardLogger{},
+		MaxRequestBodySize:           protocol.MaxBody,
+		DisablePreParseMultipartForm: true, // the handler parses bodies, whatever type they claim to have
+		ReadBufferSize:               readBufferBytes,
+		Concurrency:                  limit * 3 / 4,
+		ReadTimeout:                  a.readTimeout,
+		WriteTimeout:                 timeout,
+		IdleTimeout:                  20 * timeout,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		CloseOnShutdown:              true,
 	}
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
@@ -88,10 +98,11 @@
 	return min(maxAnswerTime, time.Duration(a.cfg.Params.Workers.ReportS*float64(time.Second)))
 }
 
-// handleMalformedRequest responds with status 400 to requests that cannot be parsed, including
-// those with an oversized body: after statuses such as 413, clients would retry the same request.
-func handleMalformedRequest(ctx *fasthttp.RequestCtx, _ error) {
-	httpserver.WriteProblem(ctx, fasthttp.StatusBadRequest, "malformed request")
+// handleReadError responds to a request that could not be read.
+func (a *API) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	failure := httpserver.HandleReadError(ctx, err)
+	a.metrics.recordUnread(failure)
+	slog.Debug("request could not be read", "from", ctx.RemoteAddr().String(), "reason", string(failure), "error", err)
 }
 
 func (a *API) handle(ctx *fasthttp.RequestCtx) {
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"pepperlever/internal/core"
+	"pepperlever/internal/httpserver"
 	"pepperlever/internal/protocol"
 )
 
@@ -62,6 +63,13 @@
 	_ = h.RecordValue(min(max(took.Microseconds(), minLatencyMicros), maxLatencyMicros))
 }
 
+// recordUnread counts a request that could not be read.
+func (m metrics) recordUnread(failure httpserver.ReadFailure) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.answers[fmt.Sprintf("unread_requests{reason=%q}", string(failure))]++
+}
+
 // exposition returns the metrics in text exposition format, one per line.
 func (m metrics) exposition() []byte {
 	m.mu.Lock()
--- a/internal/client/retry/retry.go
+++ b/internal/client/retry/retry.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"pepperlever/internal/protocol"
 )
 
 // Policy bounds the attempts of one request.
@@ -22,8 +24,8 @@
 // ChangePolicy applies to requests that change something and PollPolicy to queries. The
 // protocol prescribes the values.
 var (
-	ChangePolicy = Policy{AttemptTimeout: 5 * time.Second, MinDelay: time.Second, MaxDelay: 30 * time.Second, MaxElapsed: time.Minute}
-	PollPolicy   = Policy{AttemptTimeout: 2 * time.Second, MinDelay: time.Second, MaxDelay: 30 * time.Second, MaxElapsed: time.Minute}
+	ChangePolicy = Policy{AttemptTimeout: protocol.SubmitTimeout, MinDelay: time.Second, MaxDelay: 30 * time.Second, MaxElapsed: time.Minute}
+	PollPolicy   = Policy{AttemptTimeout: protocol.PollTimeout, MinDelay: time.Second, MaxDelay: 30 * time.Second, MaxElapsed: time.Minute}
 )
 
 // Outcome is the result of one attempt. Status is 0 if there was no response.
--- a/internal/emulator/http.go
+++ b/internal/emulator/http.go
@@ -14,7 +14,13 @@
 // serve handles HTTP requests on ln until ctx ends.
 func serve(ctx context.Context, ln net.Listener, handler fasthttp.RequestHandler) error {
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
-	server := &fasthttp.Server{Handler: handler, MaxRequestBodySize: protocol.MaxBody, NoDefaultServerHeader: true, Logger: httpserver.DiscardLogger{}}
+	server := &fasthttp.Server{
+		Handler:               handler,
+		ErrorHandler:          func(ctx *fasthttp.RequestCtx, err error) { httpserver.HandleReadError(ctx, err) },
+		MaxRequestBodySize:    protocol.MaxBody,
+		NoDefaultServerHeader: true,
+		Logger:                httpserver.DiscardLogger{},
+	}
 	if err := server.Serve(ln); ctx.Err() == nil {
 		return err
 	}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -36,6 +36,8 @@
 	ReportTimeout = 4 * time.Second
 	// ReportRetryDelay is how long a worker pauses before it tries the next controller.
 	ReportRetryDelay = time.Second
+	// SubmitTimeout is how long a user waits for the response to a submission or a cancellation.
+	SubmitTimeout = 5 * time.Second
 	// PollTimeout is how long a user waits for the state of a job.
 	PollTimeout = 2 * time.Second
 )
