Don't count a TLS handshake that was late or cut off as refused

By reading, while the cause of the slow submissions was looked for on other listeners: a connection of another site whose handshake ran into its limit or broke off was logged as refused and counted in pepperlever_gateway_refused, which tells operators that keys differ or an outsider tries to connect.

Such a handshake is now logged as 'connection ended before its handshake'; alerts of TLS and whatever is no TLS still count. internal/networkerror decides, for this listener and for that of users.

TestUnfinishedHandshakeIsNotRefused failed before in three of four rows.

--- a/internal/federation/transport/listen.go
+++ b/internal/federation/transport/listen.go
@@ -19,6 +19,7 @@
 
 	"pepperlever/internal/core"
 	"pepperlever/internal/federation"
+	"pepperlever/internal/networkerror"
 )
 
 const (
@@ -71,8 +72,7 @@
 	handshakeCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if err := conn.HandshakeContext(handshakeCtx); err != nil {
-		l.Refused.Add(1)
-		slog.Error("connection refused", "from", raw.RemoteAddr().String(), "error", err)
+		l.handleFailedHandshake(raw.RemoteAddr(), err)
 		return
 	}
 	done := make(chan struct{})
@@ -89,6 +89,17 @@
 	server.ServeConn(conn, &http2.ServeConnOpts{Context: ctx, Handler: handler})
 }
 
+// handleFailedHandshake logs and counts a connection that was refused. One whose handshake was late or cut
+// off was not: the network may be the cause.
+func (l *Links) handleFailedHandshake(from net.Addr, err error) {
+	if networkerror.IsTimeout(err) || networkerror.IsCut(err) {
+		slog.Info("connection ended before its handshake", "from", from.String(), "error", err)
+		return
+	}
+	l.Refused.Add(1)
+	slog.Error("connection refused", "from", from.String(), "error", err)
+}
+
 // peerFromCertificate returns the peer that a certificate names.
 func peerFromCertificate(cert *x509.Certificate, cfg *federation.Config) (federation.Site, error) {
 	for _, peer := range cfg.Peers {
--- a/internal/federation/transport/listen_test.go
+++ b/internal/federation/transport/listen_test.go
@@ -1,7 +1,10 @@
 package transport
 
 import (
+	"context"
 	"crypto/tls"
+	"io"
+	"net"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -38,3 +41,36 @@
 		}
 	}
 }
+
+// Guards against a connection that the network delays or cuts counting as a refused intruder.
+func TestUnfinishedHandshakeIsNotRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent   string
+		cut    bool
+		counts bool
+	}{
+		"cut before the first byte": {"", true, false},
+		"cut in the first message":  {"\x16\x03\x01\x02\x00\x01", true, false},
+		"late":                      {"\x16\x03\x01", false, false},
+		"not TLS":                   {"GET / HTTP/1.1\r\n\r\n", false, true},
+	} {
+		f := newFixture(t)
+		client, server := net.Pipe()
+		accepted := make(chan struct{})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		go func() { defer close(accepted); f.west.accept(ctx, server) }()
+		go func() { _, _ = io.Copy(io.Discard, client) }()
+		if _, err := client.Write([]byte(c.sent)); err != nil {
+			t.Fatal(err)
+		}
+		if c.cut {
+			client.Close()
+		}
+		<-accepted
+		cancel()
+		client.Close()
+		if refused := f.west.Refused.Load() > 0; refused != c.counts {
+			t.Errorf("%s: got refused %v, want %v", name, refused, c.counts)
+		}
+	}
+}
--- a/internal/httpserver/readfailure.go
+++ b/internal/httpserver/readfailure.go
@@ -1,11 +1,9 @@
 package httpserver
 
 import (
-	"errors"
-	"io"
-	"net"
-
 	"github.com/valyala/fasthttp"
+
+	"pepperlever/internal/networkerror"
 )
 
 // ReadFailure is the reason why a request could not be read.
@@ -21,11 +19,10 @@
 
 // ReadFailureOf returns the reason that an error of reading a request shows.
 func ReadFailureOf(err error) ReadFailure {
-	var netErr net.Error
 	switch {
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case networkerror.IsTimeout(err):
 		return TimedOut
-	case netErr != nil, errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+	case networkerror.IsCut(err):
 		return Cut
 	}
 	return Malformed
