Take a response without its body for no answer, not for an empty one

By reading, while the cause of the slow submissions was looked for on the clients: a response with status 200 that broke off after its head passed for an answer with zero values, such as a list without keys, which a controller takes for the whole stored state, and a conflict that broke off for one without a failed key.

Where the caller wants a body, 200 and 409 without one that can be decoded are errors now, so that the outcome is unknown. Other statuses say by themselves that nothing was done.

--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -38,8 +38,12 @@
 	}}
 }
 
-// Call sends one request to addr, decodes the JSON response into out and returns the status.
-// A body that cannot be decoded is an error only if the status is 200.
+// errNoBody reports a response without the body that gives it its meaning.
+var errNoBody = errors.New("response has no body")
+
+// Call sends one request to addr, decodes the JSON response into out and returns the status. If out is
+// not nil, a body that is missing or cannot be decoded is an error where the body says what the status
+// means.
 func (c *Client) Call(method, addr, path string, body, out any) (int, error) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -57,12 +61,28 @@
 	if err := c.http.Do(req, res); err != nil {
 		return 0, err
 	}
-	if out != nil && len(res.Body()) > 0 {
-		if err := json.Unmarshal(res.Body(), out); err != nil && res.StatusCode() == fasthttp.StatusOK {
-			return 0, err
-		}
+	status := res.StatusCode()
+	if err := decode(res.Body(), out); err != nil && needsBody(status) {
+		return 0, fmt.Errorf("status %d: %w", status, err)
 	}
-	return res.StatusCode(), nil
+	return status, nil
+}
+
+// decode decodes the body of a response into out, unless out is nil.
+func decode(body []byte, out any) error {
+	if out == nil {
+		return nil
+	}
+	if len(body) == 0 {
+		return errNoBody
+	}
+	return json.Unmarshal(body, out)
+}
+
+// needsBody reports whether the meaning of a status depends on the body, which says what was done or what
+// was in conflict. Other statuses mean that the request was not carried out.
+func needsBody(status int) bool {
+	return status == fasthttp.StatusOK || status == fasthttp.StatusConflict
 }
 
 // Query returns path with escaped query arguments, given as alternating names and values.
