--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -111,11 +111,12 @@
 	return last
 }
 
-// WithFreeCPUs returns the hosts with free CPUs, and the hosts whose type has no CPUs.
-func WithFreeCPUs(hosts []*Host) []*Host {
+// WithFreeCPUs returns the hosts with free CPUs, those whose type has no CPUs, and those on which a task
+// that needs the given CPUs fits: a task may need none.
+func WithFreeCPUs(hosts []*Host, leastNeed float64) []*Host {
 	withFreeCPUs := make([]*Host, 0, len(hosts))
 	for _, h := range hosts {
-		if h.Free.CPUs > 0 || h.Capacity.CPUs <= 0 {
+		if h.Free.CPUs > 0 || h.Capacity.CPUs <= 0 || job.AmountFits(leastNeed, h.Free.CPUs) {
 			withFreeCPUs = append(withFreeCPUs, h)
 		}
 	}
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -19,7 +19,7 @@
 	queues []*teamQueue
 	// ranking holds the fairness record of each queue's team, in the order of queues.
 	ranking []fairness.Team
-	// hosts are all schedulable machines. openHosts are those with free CPUs.
+	// hosts are all schedulable machines. openHosts leaves out those without CPUs for any pending task.
 	hosts, openHosts []*placement.Host
 	// priorReservations is the set of resource needs that hosts were reserved for in the previous
 	// round.
@@ -67,7 +67,7 @@
 	demand := c.scheduler.reservations.apply(r.hosts, c.machines)
 	c.scheduler.pendingDemand = append(c.scheduler.pendingDemand, demand...)
 	r.reserveForGangs()
-	r.openHosts = placement.WithFreeCPUs(r.hosts)
+	r.openHosts = placement.WithFreeCPUs(r.hosts, r.leastCPUNeed())
 	r.placeAll()
 	r.reserveForOverdue()
 	r.evacuateGPUHosts()
@@ -91,6 +91,17 @@
 	placement.DeprioritizeSurplus(r.hosts, r.core.policy.Spare)
 }
 
+// leastCPUNeed returns the fewest CPUs that a task of a pending job needs.
+func (r *round) leastCPUNeed() float64 {
+	least := job.Unlimited
+	for _, queue := range r.queues {
+		for _, j := range queue.jobs {
+			least = min(least, j.Need.CPUs)
+		}
+	}
+	return least
+}
+
 // hasUrgentWork reports whether a job above normal priority has been pending for longer than a
 // report interval. Such a job may use reserved hosts. Before that it is limited to unreserved
 // capacity, which it gets ahead of all other jobs, so that large tasks keep their reservations.
