Leave hosts as they were when a gang does not fit

A waiting gang of thousands of tiny tasks so kept every other job off the hosts that it was tried on, in each round. It also left empty hosts marked as used.

A failed attempt now restores the hosts as they were. TestGangThatDoesNotFitLeavesHostsAsTheyWere failed before.

--- a/internal/core/placement/gang.go
+++ b/internal/core/placement/gang.go
@@ -28,12 +28,16 @@
 	zones := Zones{}
 	maps.Copy(zones, boundByZone)
 	var chosen []*Host
+	before := map[*Host]Host{}
 	for range n {
 		host := Choose(s, hosts, zones)
 		if host == nil {
-			release(s, chosen)
+			restore(before)
 			return nil
 		}
+		if _, known := before[host]; !known {
+			before[host] = *host
+		}
 		host.Allocate(s)
 		zones[host.Zone]++
 		chosen = append(chosen, host)
@@ -41,10 +45,10 @@
 	return chosen
 }
 
-// release frees the resources of one task on each host.
-func release(s *job.Spec, hosts []*Host) {
-	for _, h := range hosts {
-		h.Free = h.Free.Plus(s.Need, 1)
+// restore undoes all allocations on hosts since they were as given.
+func restore(before map[*Host]Host) {
+	for host, was := range before {
+		*host = was
 	}
 }
 
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -137,3 +137,20 @@
 		}
 	}
 }
+
+// Guards against a gang that cannot be placed keeping all other jobs off the hosts that it was tried on.
+func TestGangThatDoesNotFitLeavesHostsAsTheyWere(t *testing.T) {
+	h := host("m1", "a", 64)
+	h.Empty = true
+	before := *h
+	gang := &job.Spec{ID: "req-000001", Kind: job.Gang, Tasks: 5000, Need: job.Resources{CPUs: 0.001}}
+	if out := PlaceGang(gang, gang.Tasks, []*Host{h}, nil); out != nil {
+		t.Fatalf("a gang of %d tasks was placed on one host", gang.Tasks)
+	}
+	if *h != before {
+		t.Errorf("got host %+v after the attempt, want %+v", *h, before)
+	}
+	if got := Choose(spec(1, 1), []*Host{h}, nil); got != h {
+		t.Error("another job finds no room")
+	}
+}
