Count tasks on hosts by the room in their reports too, wherever they are counted

Placement refuses a host whose report is full, while the plan of rentals, the reservation for gangs and the headroom of services counted by resources alone. For tasks below about a tenth of a CPU too few machines were ordered, and hosts kept for a gang that could never be placed.

Host.MaxTasks and MaxTasksOnEmpty count by both.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -75,12 +75,37 @@
 }
 
 // Allocate allocates resources on the host for one task of a job.
-func (h *Host) Allocate(s *job.Spec) {
-	h.Free = h.Free.Plus(s.Need, -1)
+func (h *Host) Allocate(s *job.Spec) { h.AllocateTasks(s, 1) }
+
+// AllocateTasks allocates resources on the host for n tasks of a job.
+func (h *Host) AllocateTasks(s *job.Spec, n int) {
+	h.Free = h.Free.Plus(s.Need, -float64(n))
 	h.Empty = false
-	h.ReportBytes += protocol.MaxTaskReportBytes(s.ID) + taskOverheadBytes
+	h.ReportBytes += n * taskReportBytes(s)
+}
+
+// MaxTasks returns how many more tasks of a job the host can hold.
+func (h *Host) MaxTasks(s *job.Spec) int { return maxTasks(s, h.Free, h.ReportBytes) }
+
+// MaxTasksWhenEmpty returns how many tasks of a job the host could hold if it were empty.
+func (h *Host) MaxTasksWhenEmpty(s *job.Spec) int { return MaxTasksOnEmpty(s, h.Capacity) }
+
+// MaxTasksOnEmpty returns how many tasks of a job an empty host with the given capacity can hold.
+func MaxTasksOnEmpty(s *job.Spec, capacity job.Resources) int { return maxTasks(s, capacity, 0) }
+
+// maxTasks returns how many tasks of a job fit into the free resources and into a report that has the
+// given size already.
+func maxTasks(s *job.Spec, free job.Resources, reportBytes int) int {
+	if reportBytes > maxReportBytes {
+		return 0
+	}
+	inReport := 1 + (maxReportBytes-reportBytes)/taskReportBytes(s)
+	return min(inReport, s.Need.FitCount(free))
 }
 
+// taskReportBytes estimates the size of one task of a job in a report.
+func taskReportBytes(s *job.Spec) int { return protocol.MaxTaskReportBytes(s.ID) + taskOverheadBytes }
+
 // reservedForLarger reports whether the host was reserved in the previous round for a task that
 // needs more than a task of this job.
 func (h *Host) reservedForLarger(s *job.Spec) bool {
--- a/internal/core/placement/reserve.go
+++ b/internal/core/placement/reserve.go
@@ -69,7 +69,7 @@
 		if n <= 0 {
 			return
 		}
-		tasks := min(s.Need.FitCount(h.Free), ZoneAllowance(s, h.Zone, reserved))
+		tasks := min(h.MaxTasks(s), ZoneAllowance(s, h.Zone, reserved))
 		if tasks <= 0 {
 			continue
 		}
@@ -117,7 +117,7 @@
 func gangCapacity(s *job.Spec, hosts []*Host) (tasks int) {
 	byZone := Zones{}
 	for _, h := range hosts {
-		byZone[h.Zone] += s.Need.FitCount(h.Capacity)
+		byZone[h.Zone] += h.MaxTasksWhenEmpty(s)
 	}
 	for zone, capacity := range byZone {
 		tasks += min(capacity, ZoneAllowance(s, zone, nil))
--- a/internal/core/placement/reserve_test.go
+++ b/internal/core/placement/reserve_test.go
@@ -52,3 +52,13 @@
 		}
 	}
 }
+
+// Guards against hosts that are reserved for a gang whose tasks fit by their resources and will never fit
+// by the size of a report.
+func TestNothingIsReservedForGangThatReportsCannotHold(t *testing.T) {
+	h := host("m1", "a", 64)
+	gang := &job.Spec{ID: "req-000001", Kind: job.Gang, Tasks: 5000, Need: job.Resources{CPUs: 0.001}}
+	if ReserveForGang(gang, gang.Tasks, []*Host{h}); h.ReservedForGang != "" {
+		t.Errorf("the host is reserved for %s", h.ReservedForGang)
+	}
+}
--- a/internal/core/reservations.go
+++ b/internal/core/reservations.go
@@ -243,7 +243,7 @@
 
 // serviceHostOf computes the capacity for service replicas on a host.
 func serviceHostOf(s *job.Spec, h *placement.Host, load *job.Load) serviceHost {
-	out := serviceHost{Host: h, slots: s.Need.FitCount(h.Free)}
+	out := serviceHost{Host: h, slots: h.MaxTasks(s)}
 	if out.slots > 0 || load == nil {
 		return out
 	}
--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -217,12 +217,12 @@
 	capacity := map[string]int{}
 	for _, h := range hosts {
 		if placement.Feasible(d.Spec, h, nil) {
-			capacity[h.Zone] += d.Spec.Need.FitCount(h.Free)
+			capacity[h.Zone] += h.MaxTasks(d.Spec)
 		}
 	}
 	for _, o := range p.offers {
 		if d.mayUse(o) {
-			capacity[o.Zone] += p.limit * d.Spec.Need.FitCount(o.Capacity())
+			capacity[o.Zone] += p.limit * placement.MaxTasksOnEmpty(d.Spec, o.Capacity())
 		}
 	}
 	return capacity
@@ -258,8 +258,8 @@
 // allocate places as many of n identical tasks on a host as fit there and are allowed in its zone,
 // and returns their number.
 func (z *zoneConstraint) allocate(h *placement.Host, n int) int {
-	n = min(n, z.spec.Need.FitCount(h.Free), placement.ZoneAllowance(z.spec, h.Zone, z.tasksByZone))
-	h.Free = h.Free.Plus(z.spec.Need, -float64(n))
+	n = min(n, h.MaxTasks(z.spec), placement.ZoneAllowance(z.spec, h.Zone, z.tasksByZone))
+	h.AllocateTasks(z.spec, n)
 	z.tasksByZone[h.Zone] += n
 	return n
 }
@@ -283,7 +283,7 @@
 		if p.counts[i] >= p.limit || !d.mayUse(o) || !constraint.allows(o.Zone) {
 			continue
 		}
-		fit := min(d.Spec.Need.FitCount(o.Capacity()), max(tasks, 1))
+		fit := min(placement.MaxTasksOnEmpty(d.Spec, o.Capacity()), max(tasks, 1))
 		price := o.Price() / float64(fit)
 		if best >= 0 && o.Type.CPUs > p.offers[best].Type.CPUs {
 			price *= largerTypePenalty
--- a/internal/core/scaling/plan_test.go
+++ b/internal/core/scaling/plan_test.go
@@ -198,3 +198,17 @@
 		}
 	}
 }
+
+// Guards against tiny tasks that wait because the plan puts more of them on a machine than its report can
+// hold.
+func TestPlanOrdersEnoughMachinesForReports(t *testing.T) {
+	const tasks = 5000
+	tiny := Demand{Spec: &job.Spec{ID: "req-000001", Tasks: tasks, Need: job.Resources{CPUs: 0.0001}, Spot: true}, Tasks: tasks}
+	held := 0
+	for _, order := range plan([]Demand{tiny}, nil, nil, offers()) {
+		held += order.Count * placement.MaxTasksOnEmpty(tiny.Spec, order.Offer.Capacity())
+	}
+	if held < tasks {
+		t.Errorf("the ordered machines hold %d of %d tasks", held, tasks)
+	}
+}
