Compare a team's use with its guarantee by the same function as all amounts

The free GPUs of a host were compared in the same way.

TestSumOfTasksIsWithinGuaranteeDespiteRounding failed before in both checks.

--- a/internal/core/evacuate.go
+++ b/internal/core/evacuate.go
@@ -14,7 +14,7 @@
 		return
 	}
 	for _, h := range r.hosts {
-		if h.GPUOnly && h.Free.GPUs >= h.Capacity.GPUs && r.evacuate(h) {
+		if h.GPUOnly && job.AmountFits(h.Capacity.GPUs, h.Free.GPUs) && r.evacuate(h) {
 			return
 		}
 	}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -222,8 +222,8 @@
 	}
 	preemptor, preempted := c.teamsByName[j.Team], c.teamsByName[victim.Team]
 	return preemptor != preempted &&
-		preemptor.usage().CPUs+j.Need.CPUs <= preemptor.CPUs &&
-		preempted.usage().CPUs > preempted.CPUs
+		withinGuarantee(preemptor, preemptor.usage().CPUs+j.Need.CPUs) &&
+		!withinGuarantee(preempted, preempted.usage().CPUs)
 }
 
 // preemptibleBestEffortHosts lists the machines that run best-effort tasks, with the capacity
--- a/internal/core/reservations.go
+++ b/internal/core/reservations.go
@@ -159,7 +159,7 @@
 // nonGPUCPUs is the number of CPUs of a host used by tasks without GPUs, or -1 if any of its GPUs
 // are in use.
 func nonGPUCPUs(h *placement.Host) float64 {
-	if h.Free.GPUs < h.Capacity.GPUs {
+	if !job.AmountFits(h.Capacity.GPUs, h.Free.GPUs) {
 		return -1
 	}
 	return h.Capacity.CPUs - h.Free.CPUs
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -193,7 +193,7 @@
 		return scaling.BestEffort
 	case c.now.Wall-j.EligibleSinceMS() > (j.LatestStartMS()-j.EligibleSinceMS())/2:
 		return scaling.AtRisk
-	case queue.usage.CPUs+j.Need.CPUs <= queue.team.CPUs:
+	case withinGuarantee(queue.team, queue.usage.CPUs+j.Need.CPUs):
 		return scaling.Guaranteed
 	}
 	return scaling.Standard
--- a/internal/core/teamlimit.go
+++ b/internal/core/teamlimit.go
@@ -17,6 +17,9 @@
 // withinLimit reports whether a team may use the given resources.
 func withinLimit(t *team, r job.Resources) bool { return r.Fits(t.limit()) }
 
+// withinGuarantee reports whether the given CPUs are within what a team is guaranteed.
+func withinGuarantee(t *team, cpus float64) bool { return job.AmountFits(cpus, t.CPUs) }
+
 // tasksWithinLimit returns how many of n tasks fit within a team's limit in addition to what it
 // uses.
 func tasksWithinLimit(t *team, used, need job.Resources, n int) int {
