Skip only needs that are really as large as one that could not be placed

Two needs are no sums; they are compared exactly now.

TestUnschedulableSetCovers failed before in its new row.

--- a/internal/core/job/resources.go
+++ b/internal/core/job/resources.go
@@ -22,6 +22,12 @@
 // Fits reports whether r fits into the free resources.
 func (r Resources) Fits(free Resources) bool { return r.fitsTimes(1, free) }
 
+// AtMost reports whether no amount of r is greater than that of other. Unlike Fits, it is exact: it compares
+// two needs, neither of which is a sum.
+func (r Resources) AtMost(other Resources) bool {
+	return r.CPUs <= other.CPUs && r.GPUs <= other.GPUs && r.MemoryGB <= other.MemoryGB
+}
+
 // FitCount returns how many times r fits into the free resources, at most MaxTasks. It is at least 1
 // exactly if r fits.
 func (r Resources) FitCount(free Resources) int {
--- a/internal/core/unschedulable.go
+++ b/internal/core/unschedulable.go
@@ -60,6 +60,6 @@
 		j.Spot == n.spec.Spot &&
 		j.Zone == n.spec.Zone &&
 		slices.Equal(j.Types, n.spec.Types) &&
-		n.spec.Need.Fits(j.Need) &&
+		n.spec.Need.AtMost(j.Need) &&
 		j.EstimateS+j.SaveS >= n.spec.EstimateS+n.spec.SaveS
 }
--- a/internal/core/unschedulable_test.go
+++ b/internal/core/unschedulable_test.go
@@ -22,6 +22,7 @@
 	}{
 		"equal":                        {func(*job.Job) {}, nil, true},
 		"larger":                       {func(j *job.Job) { j.Need.CPUs = 3 }, nil, true},
+		"a little smaller":             {func(j *job.Job) { j.Need.CPUs -= 5e-7 }, nil, false},
 		"less memory":                  {func(j *job.Job) { j.Need.MemoryGB = 1 }, nil, false},
 		"shorter":                      {func(j *job.Job) { j.EstimateS = 5 }, nil, false},
 		"no spot":                      {func(j *job.Job) { j.Spot = false }, nil, false},
