Tell an idle machine by its tasks, not by what they use

Amounts may be 0, so a machine with such a task was cordoned, took no other work and was still paid for.

TestMachineWithTaskThatNeedsNothingIsNotIdle failed before.

--- a/internal/core/scalein.go
+++ b/internal/core/scalein.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/worker"
 	"pepperlever/internal/protocol"
 )
@@ -23,7 +22,7 @@
 // reserved.
 func (c *Core) cordonIdle() {
 	for name, m := range c.machines.All() {
-		if !c.machines.UsedResources(m).Fits(job.Resources{}) {
+		if !c.machines.IsIdle(m) {
 			m.IdleSince = c.now.Steady
 			continue
 		}
--- a/internal/core/worker/registry.go
+++ b/internal/core/worker/registry.go
@@ -165,9 +165,30 @@
 		return load.Used
 	}
 	for ref, b := range load.Tasks {
-		if t, ok := m.Find(ref.Job.TaskID(ref.Index), b.Attempt); ok && t.State == protocol.Exited {
+		if m.reportsExited(ref, b) {
 			load.Used = load.Used.Plus(ref.Job.Need, -1)
 		}
 	}
 	return load.Used
 }
+
+// IsIdle reports whether no task is bound to a machine, apart from those that the worker reports as
+// exited. A task may need so little that it uses no resources, and still keeps its machine busy.
+func (r *Registry) IsIdle(m *Machine) bool {
+	load := r.Load(m.Machine)
+	if load == nil {
+		return true
+	}
+	for ref, b := range load.Tasks {
+		if !m.reportsExited(ref, b) {
+			return false
+		}
+	}
+	return true
+}
+
+// reportsExited reports whether the worker reports the attempt of a binding as exited.
+func (m *Machine) reportsExited(ref job.TaskRef, b *job.Binding) bool {
+	t, reported := m.Find(ref.Job.TaskID(ref.Index), b.Attempt)
+	return reported && t.State == protocol.Exited
+}
--- a/internal/core/zerocpus_test.go
+++ b/internal/core/zerocpus_test.go
@@ -18,3 +18,19 @@
 		t.Errorf("%d of 3 tasks started within 30s", cluster.startsOf("req-free-2"))
 	}
 }
+
+// Guards against a machine that is cordoned as idle, and takes no other work, while a task runs on it that
+// needs neither CPUs nor memory.
+func TestMachineWithTaskThatNeedsNothingIsNotIdle(t *testing.T) {
+	cluster := newIdleSimCluster(t, 1)
+	cluster.taskTime = 5 * time.Minute
+	cluster.maxMachines = 1
+	requireAccepted(t, cluster.submit("a", "req-free-1", 1, `,"vcpus":0.0,"memoryGb":0.0`))
+	cluster.waitUntilStarted("req-free-1", 1)
+	cluster.run(time.Minute, nil)
+	for id, f := range cluster.workers {
+		if len(f.Tasks) > 0 && cluster.isStored(keyCordon+id) {
+			t.Errorf("%s, which runs a task, is cordoned", id)
+		}
+	}
+}
