--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pepperlever/internal/core"
+	"pepperlever/internal/federation"
 	"pepperlever/internal/httpserver"
 )
 
@@ -50,28 +51,38 @@
 		return []byte(b.String())
 	}
 	for _, peer := range status.Peers {
-		for _, side := range []struct {
-			name  string
-			count map[string]int
-		}{{"away", peer.Outgoing}, {"taken", peer.Incoming}} {
-			for _, stage := range slices.Sorted(maps.Keys(side.count)) {
-				fmt.Fprintf(&b, "pepperlever_gateway_handoffs{peer=%q,side=%q,stage=%q} %d\n", peer.Site, side.name, stage, side.count[stage])
-			}
-		}
-		age := 0.0
-		if peer.OldestHandOffAt > 0 {
-			age = time.Since(time.UnixMilli(peer.OldestHandOffAt)).Seconds()
-		}
-		fmt.Fprintf(&b, "pepperlever_gateway_oldest_seconds{peer=%q} %.0f\n", peer.Site, age)
-		fmt.Fprintf(&b, "pepperlever_gateway_retries{peer=%q} %d\n", peer.Site, peer.Retries)
-		for _, state := range []string{"closed", "half-open", "open"} {
-			fmt.Fprintf(&b, "pepperlever_gateway_breaker{peer=%q,state=%q} %d\n", peer.Site, state, boolMetric(peer.Breaker == state))
-		}
-		fmt.Fprintf(&b, "pepperlever_gateway_stopped{peer=%q} %d\n", peer.Site, boolMetric(peer.SuspendedReason != ""))
+		writePeerMetrics(&b, peer)
 	}
 	return []byte(b.String())
 }
 
+// writePeerMetrics writes the metrics of the hand-offs with one site.
+func writePeerMetrics(b *strings.Builder, peer federation.PeerStatus) {
+	writeHandOffs(b, peer.Site, "away", peer.Outgoing)
+	writeHandOffs(b, peer.Site, "taken", peer.Incoming)
+	fmt.Fprintf(b, "pepperlever_gateway_oldest_seconds{peer=%q} %.0f\n", peer.Site, oldestHandOffAge(peer).Seconds())
+	fmt.Fprintf(b, "pepperlever_gateway_retries{peer=%q} %d\n", peer.Site, peer.Retries)
+	for _, state := range []string{"closed", "half-open", "open"} {
+		fmt.Fprintf(b, "pepperlever_gateway_breaker{peer=%q,state=%q} %d\n", peer.Site, state, boolMetric(peer.Breaker == state))
+	}
+	fmt.Fprintf(b, "pepperlever_gateway_stopped{peer=%q} %d\n", peer.Site, boolMetric(peer.SuspendedReason != ""))
+}
+
+// writeHandOffs writes the number of hand-offs in one direction by their stage.
+func writeHandOffs(b *strings.Builder, site federation.Site, side string, byStage map[string]int) {
+	for _, stage := range slices.Sorted(maps.Keys(byStage)) {
+		fmt.Fprintf(b, "pepperlever_gateway_handoffs{peer=%q,side=%q,stage=%q} %d\n", site, side, stage, byStage[stage])
+	}
+}
+
+// oldestHandOffAge returns the age of the oldest open hand-off with a site, or 0 if there is none.
+func oldestHandOffAge(peer federation.PeerStatus) time.Duration {
+	if peer.OldestHandOffAt <= 0 {
+		return 0
+	}
+	return time.Since(time.UnixMilli(peer.OldestHandOffAt))
+}
+
 func boolMetric(value bool) int {
 	if value {
 		return 1
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"pepperlever/internal/core"
+	"pepperlever/internal/core/jobstats"
 	"pepperlever/internal/httpserver"
 	"pepperlever/internal/protocol"
 )
@@ -96,14 +97,7 @@
 	}
 	var b strings.Builder
 	for _, row := range stats.Rows {
-		for _, f := range []struct {
-			state string
-			jobs  int
-		}{{"accepted", row.Accepted}, {"started", row.Started}, {"done", row.Done}, {"cancelled", row.Cancelled},
-			{"largest_accepted", row.LargestAccepted}, {"largest_started", row.LargestStarted}} {
-			fmt.Fprintf(&b, "pepperlever_jobs{%s=%q,state=%q} %d\n", row.Kind, row.Name, f.state, f.jobs)
-		}
-		fmt.Fprintf(&b, "pepperlever_oldest_waiting_seconds{%s=%q} %.0f\n", row.Kind, row.Name, row.Oldest.Seconds())
+		writeJobRow(&b, row)
 	}
 	fmt.Fprintf(&b, "pepperlever_longest_unanswered_seconds %.0f\n", stats.LongestUnanswered.Seconds())
 	fmt.Fprintf(&b, "pepperlever_cancellations_owed %d\n", stats.Unacknowledged)
@@ -117,6 +111,25 @@
 	return []byte(b.String())
 }
 
+// writeJobRow writes the number of jobs of a class or a team by their state, and the age of the oldest one
+// that is pending.
+func writeJobRow(b *strings.Builder, row jobstats.Row) {
+	for _, count := range []struct {
+		state string
+		jobs  int
+	}{
+		{"accepted", row.Accepted},
+		{"started", row.Started},
+		{"done", row.Done},
+		{"cancelled", row.Cancelled},
+		{"largest_accepted", row.LargestAccepted},
+		{"largest_started", row.LargestStarted},
+	} {
+		fmt.Fprintf(b, "pepperlever_jobs{%s=%q,state=%q} %d\n", row.Kind, row.Name, count.state, count.jobs)
+	}
+	fmt.Fprintf(b, "pepperlever_oldest_waiting_seconds{%s=%q} %.0f\n", row.Kind, row.Name, row.Oldest.Seconds())
+}
+
 // writePendingTasks writes the number of pending tasks by the reason why they are pending.
 func writePendingTasks(b *strings.Builder, metric string, pending core.PendingTasks) {
 	fmt.Fprintf(b, "%s{reason=\"awaits\"} %d\n", metric, pending.Dependencies)
