Count the tasks of a gang as progress while it is placed, and other long loops

A gang may have 100,000 tasks, and placing it is one operation of a round: on 1,400 machines it takes seconds of processor time, in which the core counted no unit of work. On a controller with a fifth of a core that would be taken for a hang. Each task, event, starved job and reservation is a unit now; all these loops are over lists.

TestPlacementOfLargeGangShowsProgress. TestSlowSenderIsDisconnected shows that a sender of a byte now and then is cut off in time.

--- a/internal/api/readfailure_test.go
+++ b/internal/api/readfailure_test.go
@@ -130,3 +130,26 @@
 	res.Body.Close()
 	return res.StatusCode
 }
+
+// Guards against a slow sender that holds a connection for as long as it sends another byte now and then.
+func TestSlowSenderIsDisconnected(t *testing.T) {
+	conn := dial(t, startAPI(t))
+	defer conn.Close()
+	begun := time.Now()
+	go func() {
+		for _, err := conn.Write([]byte("POST /work HTTP/1.1\r\nX: ")); err == nil; _, err = conn.Write([]byte("x")) {
+			time.Sleep(requestArrivesWithin / 10)
+		}
+	}()
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(begun); res.StatusCode != http.StatusRequestTimeout || !res.Close || took < requestArrivesWithin {
+		t.Errorf("got status %d after %v, closed %v, want 408 and the end of the connection after %v", res.StatusCode, took, res.Close, requestArrivesWithin)
+	}
+}
--- a/internal/core/gangreservations.go
+++ b/internal/core/gangreservations.go
@@ -38,6 +38,7 @@
 	})
 	for _, j := range eligible {
 		placement.ReserveForGang(&j.Spec, j.PendingTasks(), r.hosts)
+		r.core.progress.Advance()
 	}
 }
 
--- a/internal/core/placement/gang.go
+++ b/internal/core/placement/gang.go
@@ -5,17 +5,19 @@
 	"slices"
 
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/progress"
 )
 
 // PlaceGang chooses hosts for n tasks of a job, all or none, within one zone if the job requires
-// it. It allocates their resources only if every task has a host, and returns nil otherwise.
-func PlaceGang(s *job.Spec, n int, hosts []*Host, zones Zones) []*Host {
+// it. It allocates their resources only if every task has a host, and returns nil otherwise. Each task
+// counts as a unit of work in finished: a gang may have very many.
+func PlaceGang(s *job.Spec, n int, hosts []*Host, zones Zones, finished *progress.Counter) []*Host {
 	if !s.OneZone {
-		return placeAllOrNone(s, n, hosts, zones)
+		return placeAllOrNone(s, n, hosts, zones, finished)
 	}
 	for _, zone := range distinctZones(hosts) {
 		inZone := slices.DeleteFunc(slices.Clone(hosts), func(h *Host) bool { return h.Zone != zone })
-		if chosen := placeAllOrNone(s, n, inZone, zones); chosen != nil {
+		if chosen := placeAllOrNone(s, n, inZone, zones, finished); chosen != nil {
 			return chosen
 		}
 	}
@@ -24,13 +26,14 @@
 
 // placeAllOrNone places n tasks of a job on any of the hosts, all or none. boundByZone counts the
 // tasks of the job that are already bound.
-func placeAllOrNone(s *job.Spec, n int, hosts []*Host, boundByZone Zones) []*Host {
+func placeAllOrNone(s *job.Spec, n int, hosts []*Host, boundByZone Zones, finished *progress.Counter) []*Host {
 	zones := Zones{}
 	maps.Copy(zones, boundByZone)
 	var chosen []*Host
 	before := map[*Host]Host{}
 	for range n {
 		host := Choose(s, hosts, zones)
+		finished.Advance()
 		if host == nil {
 			restore(before)
 			return nil
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/progress"
 	"pepperlever/internal/protocol"
 )
 
@@ -52,11 +53,11 @@
 	hosts := []*Host{host("m1", "a", 4), host("m2", "b", 8)}
 	s := spec(4, 2)
 	s.OneZone = true
-	out := PlaceGang(s, 2, hosts, nil)
+	out := PlaceGang(s, 2, hosts, nil, &progress.Counter{})
 	if len(out) != 2 || out[0].ID != "m2" || out[1].ID != "m2" {
 		t.Fatalf("got hosts %v, want m2 for both tasks", out)
 	}
-	if out := PlaceGang(s, 2, hosts, nil); out != nil || hosts[0].Free.CPUs != 4 {
+	if out := PlaceGang(s, 2, hosts, nil, &progress.Counter{}); out != nil || hosts[0].Free.CPUs != 4 {
 		t.Errorf("gang was partly placed or its resources not released: %v", out)
 	}
 }
@@ -144,7 +145,7 @@
 	h.Empty = true
 	before := *h
 	gang := &job.Spec{ID: "req-000001", Kind: job.Gang, Tasks: 5000, Need: job.Resources{CPUs: 0.001}}
-	if out := PlaceGang(gang, gang.Tasks, []*Host{h}, nil); out != nil {
+	if out := PlaceGang(gang, gang.Tasks, []*Host{h}, nil, &progress.Counter{}); out != nil {
 		t.Fatalf("a gang of %d tasks was placed on one host", gang.Tasks)
 	}
 	if *h != before {
@@ -154,3 +155,14 @@
 		t.Error("another job finds no room")
 	}
 }
+
+// Guards against a controller that is taken for a hanging one while it places a gang of very many tasks on
+// very many hosts.
+func TestPlacementOfLargeGangShowsProgress(t *testing.T) {
+	const tasks = 300
+	gang := &job.Spec{ID: "req-000001", Kind: job.Gang, Tasks: tasks, Need: job.Resources{CPUs: 0.001}}
+	finished := &progress.Counter{}
+	if out := PlaceGang(gang, tasks, []*Host{host("m1", "a", 64)}, nil, finished); len(out) != tasks || finished.Units() < tasks {
+		t.Errorf("%d of %d tasks placed in %d units of work, want at least one each", len(out), tasks, finished.Units())
+	}
+}
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -8,6 +8,7 @@
 	"pepperlever/internal/core/job"
 	"pepperlever/internal/core/placement"
 	"pepperlever/internal/core/scaling"
+	"pepperlever/internal/progress"
 )
 
 // jobPlacement is the state of one job in a round.
@@ -79,7 +80,7 @@
 	if !r.mayPlace(queue, j, p, need) {
 		return job.Resources{}, false
 	}
-	chosen := p.choose(j, tasks, r.openHosts)
+	chosen := p.choose(j, tasks, r.openHosts, r.core.progress)
 	if len(chosen) == 0 {
 		r.handleUnplaced(queue, j, p)
 		return job.Resources{}, false
@@ -107,9 +108,9 @@
 }
 
 // choose finds hosts for a number of tasks of a job and allocates their capacity.
-func (p *jobPlacement) choose(j *job.Job, tasks int, hosts []*placement.Host) []*placement.Host {
+func (p *jobPlacement) choose(j *job.Job, tasks int, hosts []*placement.Host, finished *progress.Counter) []*placement.Host {
 	if tasks > 1 || j.Kind == job.Gang {
-		return placement.PlaceGang(&j.Spec, tasks, hosts, p.zones)
+		return placement.PlaceGang(&j.Spec, tasks, hosts, p.zones, finished)
 	}
 	host := p.picker.Next(p.unplaced, p.zones)
 	if host == nil {
@@ -193,6 +194,7 @@
 		if !exhausted[d.Spec.Need] {
 			exhausted[d.Spec.Need] = r.reserveHosts(d) < d.Tasks
 		}
+		r.core.progress.Advance()
 	}
 }
 
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -65,6 +65,7 @@
 		isPreempted := func(h *placement.Host) bool { return preempted[h] }
 		hosts = slices.DeleteFunc(hosts, isPreempted)
 		hostsForServices = slices.DeleteFunc(hostsForServices, isPreempted)
+		r.core.progress.Advance()
 	}
 }
 
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -111,6 +111,7 @@
 		} else {
 			c.onPut(protocol.KeyValue{Key: e.Put, Value: e.Value, Version: e.Version})
 		}
+		c.progress.Advance()
 	}
 	c.replica.advance(m.Revision)
 	c.freshness.replicaAdvanced(c.replica.revision)
