--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -98,7 +98,7 @@
 		if !s.Need.Fits(capacity) || s.Types != nil && !slices.Contains(s.Types, name) {
 			continue
 		}
-		price := t.Price / float64(s.Need.FitCount(capacity))
+		price := t.Price / float64(s.Need.FitCount(capacity, job.MaxTasks))
 		if price < leastPrice {
 			cheapest, leastPrice = name, price
 		}
--- a/internal/core/job/resources.go
+++ b/internal/core/job/resources.go
@@ -20,7 +20,15 @@
 func AmountFits(amount, available float64) bool { return amount <= available+roundingTolerance }
 
 // Fits reports whether r fits into the free resources.
-func (r Resources) Fits(free Resources) bool { return r.fitsTimes(1, free) }
+func (r Resources) Fits(free Resources) bool {
+	return AmountFits(r.CPUs, free.CPUs) && AmountFits(r.GPUs, free.GPUs) && AmountFits(r.MemoryGB, free.MemoryGB)
+}
+
+// FitCount returns how many times r fits into the free resources, up to the limit. It is at least 1 exactly
+// if r fits.
+func (r Resources) FitCount(free Resources, limit int) int {
+	return sort.Search(limit, func(n int) bool { return !r.Times(n + 1).Fits(free) })
+}
 
 // AtMost reports whether no amount of r is greater than that of other. Unlike Fits, it is exact: it compares
 // two needs, neither of which is a sum.
@@ -28,18 +36,10 @@
 	return r.CPUs <= other.CPUs && r.GPUs <= other.GPUs && r.MemoryGB <= other.MemoryGB
 }
 
-// FitCount returns how many times r fits into the free resources, at most MaxTasks. It is at least 1
-// exactly if r fits.
-func (r Resources) FitCount(free Resources) int {
-	return sort.Search(MaxTasks, func(n int) bool { return !r.fitsTimes(n+1, free) })
-}
-
-// fitsTimes reports whether r fits n times into the free resources.
-func (r Resources) fitsTimes(n int, free Resources) bool {
-	times := float64(n)
-	return AmountFits(times*r.CPUs, free.CPUs) &&
-		AmountFits(times*r.GPUs, free.GPUs) &&
-		AmountFits(times*r.MemoryGB, free.MemoryGB)
+// Times returns n times r.
+func (r Resources) Times(n int) Resources {
+	factor := float64(n)
+	return Resources{CPUs: factor * r.CPUs, GPUs: factor * r.GPUs, MemoryGB: factor * r.MemoryGB}
 }
 
 // Plus returns r plus factor times other.
--- a/internal/core/job/resources_test.go
+++ b/internal/core/job/resources_test.go
@@ -36,7 +36,7 @@
 		free, need := drawResources(t, "free"), drawResources(t, "need")
 		for _, taken := range []int{0, rapid.IntRange(0, 200).Draw(t, "taken")} {
 			left := free.Plus(need, -float64(taken))
-			count := need.FitCount(left)
+			count := need.FitCount(left, MaxTasks)
 			if need.Fits(left) != (count > 0) {
 				t.Fatalf("%v into %v: Fits is %v, FitCount is %d", need, left, need.Fits(left), count)
 			}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -100,7 +100,7 @@
 		return 0
 	}
 	inReport := 1 + (maxReportBytes-reportBytes)/taskReportBytes(s)
-	return min(inReport, s.Need.FitCount(free))
+	return s.Need.FitCount(free, inReport)
 }
 
 // taskReportBytes estimates the size of one task of a job in a report.
--- a/internal/core/reservations.go
+++ b/internal/core/reservations.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		if name := types.CheapestFor(&j.Spec); name != "" {
-			perMachine := j.Need.FitCount(types.Capacity(name))
+			perMachine := j.Need.FitCount(types.Capacity(name), job.MaxTasks)
 			gpuNeed[name] += float64(j.Tasks-j.Done.Len()) / float64(perMachine)
 			r.gpuSpotAllowed[name] = r.gpuSpotAllowed[name] || j.Spot
 		}
@@ -254,7 +254,7 @@
 			out.arrayMilliCPUs += int(1000 * ref.Job.Need.CPUs)
 		}
 	}
-	out.slots = s.Need.FitCount(free)
+	out.slots = s.Need.FitCount(free, job.MaxTasks)
 	return out
 }
 
--- a/internal/core/teamlimit.go
+++ b/internal/core/teamlimit.go
@@ -23,5 +23,5 @@
 // tasksWithinLimit returns how many of n tasks fit within a team's limit in addition to what it
 // uses.
 func tasksWithinLimit(t *team, used, need job.Resources, n int) int {
-	return min(n, need.FitCount(t.limit().Plus(used, -1)))
+	return need.FitCount(t.limit().Plus(used, -1), n)
 }
