Keep the cadence of lease renewals, and the preference among hosts, as they were

And a gang that did not fit no longer left empty hosts marked as used, which changes what later tasks prefer; only the room in reports is given back now.

--- a/internal/core/placement/gang.go
+++ b/internal/core/placement/gang.go
@@ -48,9 +48,11 @@
 	return chosen
 }
 
-// restore undoes all allocations on hosts since they were as given.
+// restore undoes all allocations on hosts since they were as given. The hosts still count as used for the
+// rest of the round, which only affects the preference among hosts.
 func restore(before map[*Host]Host) {
 	for host, was := range before {
+		was.Empty = host.Empty
 		*host = was
 	}
 }
--- a/internal/store/lease.go
+++ b/internal/store/lease.go
@@ -36,7 +36,7 @@
 	var lease leaseID
 	results := make(chan renewalResult, 1)
 	for s.awaitProgress(ctx) {
-		interval := s.cfg.ControllerLease() / 3
+		interval := s.cfg.ControllerLease()/3 - s.progressCheckInterval() // the first check for progress takes the rest
 		if lease == 0 {
 			if lease = s.acquireLease(); lease == 0 {
 				interval = s.retryInterval()
@@ -53,6 +53,11 @@
 // progressChecksPerLease is how often in the time to live of a lease awaitProgress looks for progress.
 const progressChecksPerLease = 30
 
+// progressCheckInterval returns the pause between two checks for progress.
+func (s *Store) progressCheckInterval() time.Duration {
+	return s.cfg.ControllerLease() / progressChecksPerLease
+}
+
 // awaitProgress waits until the core finishes a unit of work. It reports false if ctx is done before.
 func (s *Store) awaitProgress(ctx context.Context) bool {
 	units := s.progress.Units()
@@ -60,7 +65,7 @@
 		if s.progress.Units() != units {
 			return true
 		}
-		sleep(ctx, s.cfg.ControllerLease()/progressChecksPerLease)
+		sleep(ctx, s.progressCheckInterval())
 	}
 	return false
 }
