Show that a late copy of a start command starts a forgotten task again

What users saw: a task stood on two machines at once. It had failed on the first, ran on the second, and started on the first again three seconds after its start command had been carried out and answered.

Cause, so far: a copy of a direct command is carried out if token and epoch still match. An exited task is forgotten as soon as its end is stored, under the token of its start, and a worker that has forgotten an attempt starts it once more when the start is repeated. The simulated workers carried out each delivery once, also where it was held back, so no random scenario could show it.

A start of a cancelled job is an error at any time after cancel_s. A task that failed no longer counts as completed.

--- a/internal/core/randomchecks_test.go
+++ b/internal/core/randomchecks_test.go
@@ -96,7 +96,8 @@
 		r.t.Errorf("%v: final state of %s changed from %s to %s", r.now, id, now, s.State)
 	case s.State == protocol.Cancelled:
 		if r.reportedFinalStates[id] = s.State; now == "" {
-			r.cancelConfirmedAt[id], r.firstCancelReports[id] = r.now, r.now
+			r.firstCancelReports[id] = r.now
+			r.confirmCancelled(id)
 		}
 		if !r.mayBeCancelled(id) {
 			r.t.Errorf("%v: %s is cancelled, but no user cancelled it or a dependency", r.now, id)
--- a/internal/core/randomscenarios_test.go
+++ b/internal/core/randomscenarios_test.go
@@ -152,7 +152,7 @@
 	for n, step := range steps {
 		r.rng = rand.New(rand.NewPCG(step.Seed, 23))
 		r.submitForEachTeam(n, step)
-		faults[step.Fault](r, r.names[step.Node], r.names[step.Other])
+		faultNamed(step.Fault)(r, r.names[step.Node], r.names[step.Other])
 		r.pollRandomJobs()
 		r.run(step.Pause, nil)
 		if node := r.servingController(); node != "" && step.Cancel > 0 && step.Cancel <= len(r.openJobs) {
--- /dev/null
+++ b/internal/core/repeateddeliveries_test.go
@@ -0,0 +1,104 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// furtherFaults are faults that only some tests draw. They are apart from faults so that recorded seeds
+// draw the same scenarios as before.
+var furtherFaults = map[string]func(r *randomScenario, node, other string){
+	"repeated commands": func(r *randomScenario, _, _ string) { r.repeatDeliveries = true },
+	"faulty machines": func(r *randomScenario, _, _ string) {
+		r.forRandomMachines(6, func(id string) { r.faulty[id] = true })
+		r.after(20*time.Second, func() { clear(r.faulty) })
+	},
+}
+
+// faultNamed returns the fault with the given name.
+func faultNamed(name string) func(r *randomScenario, node, other string) {
+	if fault := furtherFaults[name]; fault != nil {
+		return fault
+	}
+	return faults[name]
+}
+
+// Guards against copies of deliveries that start a task once more, whatever other faults there are.
+func TestInvariantsHoldUnderRepeatedDeliveries(t *testing.T) {
+	for _, fault := range []string{
+		"repeated commands", "faulty machines", "one ends", "one is back at once", "all end and one is back", "handed over and back",
+		"leaders change", "machines hang", "held commands", "deaf to one", "mute machines", "an outage", "cancelled now", "all links slow",
+	} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, func(t *rapid.T) {
+				steps := rapid.SliceOfN(drawScenarioStep(fault), 2, 24).Draw(t, "steps")
+				runRandomScenario(t, steps, func(r *randomScenario) { r.repeatDeliveries = true })
+			})
+		})
+	}
+}
+
+// recordDeliveries returns a function that makes a copy of every delivery made since arrive now.
+func (cluster *simCluster) recordDeliveries() (repeatAll func()) {
+	var deliveries []Deliver
+	cluster.onEffect = func(_ string, e Effect) {
+		if delivery, ok := e.(Deliver); ok {
+			deliveries = append(deliveries, delivery)
+		}
+	}
+	return func() {
+		for _, delivery := range deliveries {
+			cluster.deliverCopyAt(cluster.now, delivery)
+		}
+	}
+}
+
+// failTasksOn makes all tasks that run on a machine fail now.
+func (cluster *simCluster) failTasksOn(id string) {
+	cluster.faulty[id] = true
+	f := cluster.workers[id]
+	for attempt := range f.running {
+		f.running[attempt] = cluster.now
+	}
+	cluster.stepWorkers()
+	delete(cluster.faulty, id)
+}
+
+// machinesOf returns the machines that tasks of a job run on.
+func (cluster *simCluster) machinesOf(id string) (machines []string) {
+	for _, machine := range slices.Sorted(maps.Keys(cluster.workers)) {
+		if cluster.tasksOn([]string{machine}) > 0 && strings.HasPrefix(cluster.workers[machine].Tasks[0].Task, id+"/") {
+			machines = append(machines, machine)
+		}
+	}
+	return machines
+}
+
+// Guards against a task on two machines: it fails on one and runs on another, and a late copy of its
+// first start command arrives after the first machine was told to forget it.
+func TestRepeatedStartDoesNotStartForgottenTask(t *testing.T) {
+	const id, tasks = "req-free-1", 4
+	cluster := newIdleSimCluster(t, 10)
+	cluster.taskTime, cluster.cloudDegraded = 5*time.Minute, true // no machine is returned
+	repeatAll := cluster.recordDeliveries()
+	requireAccepted(t, cluster.submit("a", id, tasks, ""))
+	cluster.waitUntilStarted(id, tasks)
+	cluster.run(reportIntervals(2), nil)
+	cluster.failTasksOn(cluster.machinesOf(id)[0])
+	failed := tasks - cluster.onMachines(id)
+	if failed == 0 || !cluster.run(30*time.Second, func() bool { return cluster.forgotten == failed }) {
+		t.Fatalf("%d of %d failed tasks were forgotten", cluster.forgotten, failed)
+	}
+	cluster.waitUntilStarted(id, tasks)
+	repeatAll()
+	cluster.run(3*time.Second, nil) // the simulation checks every start
+	if n := cluster.onMachines(id); n != tasks {
+		t.Errorf("%d tasks are on machines, want %d", n, tasks)
+	}
+}
--- a/internal/core/simchecks_test.go
+++ b/internal/core/simchecks_test.go
@@ -27,6 +27,9 @@
 	if dependency := cluster.unfinishedDependency(id); dependency != "" {
 		cluster.t.Errorf("%v: %s started before its dependency %s was done", cluster.now, task, dependency)
 	}
+	if deadline, cancelled := cluster.cancelDeadlines[id]; cancelled && cluster.now > deadline {
+		cluster.t.Errorf("%v: %s started on %s, but its job had to be gone by %v", cluster.now, task, f.Machine, deadline)
+	}
 	cluster.checkPlacement(f, id)
 	for _, t := range cluster.cfg[cluster.names[0]].Params.Teams {
 		if used := cluster.cpusInUse(t.Name); t.CPUsMax > 0 && used > t.CPUsMax+1e-6 {
@@ -47,6 +50,12 @@
 	return ""
 }
 
+// confirmCancelled records that a user has been told that a job is cancelled.
+func (cluster *simCluster) confirmCancelled(id string) {
+	cluster.cancelConfirmedAt[id] = cluster.now
+	cluster.cancelDeadlines[id] = cluster.now + seconds(cluster.cfg[cluster.names[0]].Params.Workers.CancelS)
+}
+
 // checkCancelDeadlines checks that no task of a job still runs cancel_s after the cancellation was
 // confirmed to its user.
 func (cluster *simCluster) checkCancelDeadlines() {
--- a/internal/core/simcluster_test.go
+++ b/internal/core/simcluster_test.go
@@ -37,6 +37,8 @@
 	heldDeliveries []Deliver
 	// delayDeliveries makes one delivery in four run seconds later, without a reply.
 	delayDeliveries bool
+	// repeatDeliveries makes executed deliveries arrive again later.
+	repeatDeliveries bool
 	// lateWrite returns the delay after which a transaction with changes is executed. The sender
 	// does not learn its outcome. Zero executes it immediately.
 	lateWrite func(node string, e StoreTxn) time.Duration
@@ -136,6 +138,10 @@
 	// cancelConfirmedAt holds the time at which the cancellation of each job was confirmed to its
 	// user. checkCancelDeadlines removes the entry after the deadline.
 	cancelConfirmedAt map[string]time.Duration
+	// cancelDeadlines holds the time by which all tasks of each cancelled job must be gone.
+	cancelDeadlines map[string]time.Duration
+	// forgotten is the number of attempts that workers have forgotten on command.
+	forgotten int
 	// specs holds the spec of each submitted job.
 	specs map[string]*job.Spec
 	// adjustSettings, if set, changes the settings of each controller before it starts.
@@ -230,6 +236,7 @@
 		lists:                   map[string]*pagedList{},
 		watchedAt:               map[string]time.Duration{},
 		cancelConfirmedAt:       map[string]time.Duration{},
+		cancelDeadlines:         map[string]time.Duration{},
 		completed:               map[string]bool{},
 		tokenOwners:             map[uint64]string{},
 	}
--- a/internal/core/simfaults_test.go
+++ b/internal/core/simfaults_test.go
@@ -105,8 +105,10 @@
 	cluster.recoveryCount++
 	cluster.endOutage()
 	cluster.cloudDegraded, cluster.delayDeliveries, cluster.watchLag, cluster.lateWrite, cluster.delayReports, cluster.fullZone = false, false, 0, nil, false, ""
+	cluster.repeatDeliveries = false
 	cluster.reconnectZone()
 	cluster.heal()
 	clear(cluster.cutWorkers)
+	clear(cluster.faulty)
 	clear(cluster.notUpgraded)
 }
--- a/internal/core/simusers_test.go
+++ b/internal/core/simusers_test.go
@@ -54,7 +54,7 @@
 	cluster.t.Helper()
 	a := cluster.request(node, func(req uint64) Command { return Cancel{Req: req, ID: id} })
 	if a.Status == http.StatusOK {
-		cluster.cancelConfirmedAt[id] = cluster.now
+		cluster.confirmCancelled(id)
 	}
 	return a
 }
--- a/internal/core/simworkers_test.go
+++ b/internal/core/simworkers_test.go
@@ -49,9 +49,10 @@
 			end, ok := f.running[taskAttempt{task.Task, task.Attempt}]
 			if ok && task.State == protocol.Running && cluster.now >= end {
 				f.Tasks[i].State, f.Tasks[i].ExitReason = protocol.Exited, protocol.ExitDone
-				cluster.recordCompletion(task.Task)
 				if id, _, _ := job.ParseTaskID(task.Task); cluster.broken[id] || cluster.faulty[f.Machine] {
 					f.Tasks[i].ExitReason = protocol.ExitError
+				} else {
+					cluster.recordCompletion(task.Task)
 				}
 				changed = true
 			}
@@ -151,10 +152,8 @@
 	}
 	if f != nil && !f.dead && !cluster.cutWorkers[f.Machine] && cluster.reachesWorker(f, node) && !cluster.crossesZonePartition(node, f) {
 		f.Seq++
-		if delivery.CommandBatch.Token >= f.Token && delivery.CommandBatch.WorkerEpoch == f.WorkerEpoch {
-			f.Token = delivery.CommandBatch.Token
-			cluster.executeCommands(f, delivery.CommandBatch.Commands)
-			result.Executed = true
+		if result.Executed = cluster.executeDelivery(f, delivery.CommandBatch); result.Executed {
+			cluster.repeatDelivery(delivery)
 		}
 		r := cluster.currentReport(f)
 		result.Report = &r
@@ -173,15 +172,25 @@
 		if cluster.now < at {
 			return false
 		}
-		if f := cluster.workers[delivery.Machine]; f != nil && !f.dead && delivery.CommandBatch.Token >= f.Token && delivery.CommandBatch.WorkerEpoch == f.WorkerEpoch {
+		if f := cluster.workers[delivery.Machine]; f != nil && !f.dead {
 			f.Seq++
-			f.Token = delivery.CommandBatch.Token
-			cluster.executeCommands(f, delivery.CommandBatch.Commands)
+			cluster.executeDelivery(f, delivery.CommandBatch)
 		}
 		return true
 	})
 }
 
+// executeDelivery executes the commands of a delivery, and reports whether the worker accepted them: it
+// rejects those under a lower token or for another epoch.
+func (cluster *simCluster) executeDelivery(f *fakeWorker, batch protocol.CommandBatch) (executed bool) {
+	if batch.Token < f.Token || batch.WorkerEpoch != f.WorkerEpoch {
+		return false
+	}
+	f.Token = batch.Token
+	cluster.executeCommands(f, batch.Commands)
+	return true
+}
+
 // executeCommands executes commands in order.
 func (cluster *simCluster) executeCommands(f *fakeWorker, commands []protocol.Command) {
 	for _, cmd := range commands {
@@ -207,6 +216,7 @@
 			}
 		case protocol.OpForget:
 			if at >= 0 && f.Tasks[at].State == protocol.Exited {
+				cluster.forgotten++
 				f.Tasks = slices.Delete(f.Tasks, at, at+1)
 				delete(f.running, key)
 			}
@@ -306,8 +316,8 @@
 	return changed
 }
 
-// recordCompletion records that a task ran to its end, even if it then failed. The tasks of a gang
-// complete together. Results are kept, so a task that is started again has nothing left to do.
+// recordCompletion records that a task ran to its end. The tasks of a gang complete together. Results
+// are kept, so a task that is started again has nothing left to do.
 func (cluster *simCluster) recordCompletion(task string) {
 	cluster.completed[task] = true
 	id, _, _ := job.ParseTaskID(task)
