Keep a short history of each machine, and tell when an ended task is there again

What an operator saw of the incident: nothing. The logs had the openings of agent sessions and the tokens, but not why a start, a forget or an absence was decided, nor that a machine showed an attempt that had been forgotten.

--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -108,6 +108,8 @@
 	fmt.Fprintf(&b, "pepperlever_cascaded_cancellations_total %d\n", stats.Counters.CascadedCancellations)
 	fmt.Fprintf(&b, "pepperlever_split_jobs_total %d\n", stats.Counters.SplitJobs)
 	fmt.Fprintf(&b, "pepperlever_oversized_transactions_total %d\n", stats.Counters.OversizedTransactions)
+	fmt.Fprintf(&b, "pepperlever_reappeared_tasks_total %d\n", stats.Counters.ReappearedTasks)
+	fmt.Fprintf(&b, "pepperlever_outdated_starts_total %d\n", stats.Counters.OutdatedStarts)
 	return []byte(b.String())
 }
 
--- a/internal/core/deliveries.go
+++ b/internal/core/deliveries.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"pepperlever/internal/core/job"
+	"pepperlever/internal/core/worker"
 	"pepperlever/internal/protocol"
 )
 
@@ -14,11 +15,26 @@
 		return
 	}
 	session.queuedCommands[taskAttempt{o.Command.Task, o.Command.Attempt}] = o.Command
+	a.recordCommand(o.Machine, o.Command)
 	if o.Command.Op == protocol.OpStop {
 		a.scheduleDelivery(o.Machine)
 	}
 }
 
+// eventOf holds the event that a command of each kind is recorded as.
+var eventOf = map[string]worker.EventKind{
+	protocol.OpStart:  worker.StartSent,
+	protocol.OpStop:   worker.StopSent,
+	protocol.OpForget: worker.ForgetSent,
+}
+
+// recordCommand adds a command for a worker to the history of its machine.
+func (a *agentController) recordCommand(machine string, command protocol.Command) {
+	if m := a.core.machines.Get(machine); m != nil {
+		m.RecordEvent(eventOf[command.Op], command.Task, command.Attempt, a.now.Steady)
+	}
+}
+
 // deliverAll makes the deliveries that this step has scheduled.
 func (a *agentController) deliverAll() {
 	for machine := range ordered(a.dueDeliveries) {
@@ -36,6 +52,9 @@
 		return
 	}
 	a.dropCancelledStarts(session)
+	for _, start := range session.queuedStarts {
+		a.recordCommand(machine, start)
+	}
 	commands := append(session.takeCommands(), session.queuedStarts...)
 	session.queuedStarts = nil
 	session.delivering = true
--- a/internal/core/observations.go
+++ b/internal/core/observations.go
@@ -32,6 +32,7 @@
 	c.attributeFailures(m, report)
 	c.recordArrival(report.Machine, o.Node)
 	m.Update(*report, c.now.Steady)
+	c.reportReappeared(m)
 	c.machines.RecordContact(m, o.Direct, c.now.Steady)
 	c.machines.InvalidateLoad(report.Machine)
 	c.reconciler.reconcileMachine(m)
@@ -63,3 +64,14 @@
 		c.log(Info, "machine does not receive its answers", "machine", m.Machine)
 	}
 }
+
+// reportReappeared logs the attempts that a machine reports although they had ended, with what this node
+// knows of the machine.
+func (c *Core) reportReappeared(m *worker.Machine) {
+	for _, i := range m.TakeReappeared() {
+		t := m.Tasks[i]
+		c.counters.ReappearedTasks++
+		c.log(Error, "ended task is on its machine again", "task", t.Task, "attempt", t.Attempt, "state", t.State,
+			"machine", m.Machine, "epoch", m.WorkerEpoch, "token", m.Token, "node", m.Node, "history", m.History())
+	}
+}
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -72,6 +72,7 @@
 		b.State = t.State
 	case worker.Absent:
 		r.log(Debug, "task is absent from its machine", "task", j.TaskID(i), "machine", m.Machine, "state", b.State)
+		m.RecordEvent(worker.ProvenAbsent, j.TaskID(i), b.Attempt, r.now.Steady)
 		r.core.unbind(j, i)
 	case worker.Exited:
 		r.taskEnded(j, i, m, t)
--- a/internal/core/staletasks.go
+++ b/internal/core/staletasks.go
@@ -46,6 +46,7 @@
 		if m == nil {
 			continue
 		}
+		m.RecordEvent(worker.EndStored, j.TaskID(exit.Index), exit.Attempt, r.now.Steady)
 		t, reported := m.Find(j.TaskID(exit.Index), exit.Attempt)
 		b := j.Bound[exit.Index]
 		isBound := b != nil && b.Attempt == exit.Attempt
--- a/internal/core/startforwarding.go
+++ b/internal/core/startforwarding.go
@@ -34,6 +34,9 @@
 		reason = a.refusalReasonFor(&s)
 		a.startLedgers.record(&s, reason != "", a.now.Steady)
 	}
+	if reason == refusedToken {
+		a.core.counters.OutdatedStarts++
+	}
 	if reason != "" {
 		a.log(Info, "start refused", "task", s.Task, "machine", s.Machine, "leader", from, "reason", string(reason))
 		a.core.sendTo(from, PeerMessage{Refusal: &Refusal{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt}})
--- a/internal/core/statistics.go
+++ b/internal/core/statistics.go
@@ -36,6 +36,11 @@
 	// OversizedTransactions is the number of transactions that the store rejected as malformed
 	// or too large.
 	OversizedTransactions int
+	// ReappearedTasks is the number of attempts that machines reported although they had ended.
+	ReappearedTasks int
+	// OutdatedStarts is the number of starts that were refused because the worker has a newer token than
+	// the binding.
+	OutdatedStarts int
 }
 
 // statisticsReport returns the current statistics of this controller.
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -45,6 +45,10 @@
 	// runningSince holds when each task of the report was first seen running, or 0 if the task is not
 	// running, in the order of the report.
 	runningSince []time.Duration
+	// history holds the newest events of the machine. reappeared holds the positions of the tasks of the
+	// report that must not be there.
+	history    history
+	reappeared []int
 	// positions is an index of the tasks in the report. It is nil for a short report.
 	positions map[attemptKey]int
 }
@@ -103,13 +107,17 @@
 // the number of exited tasks, the encoded size and the index.
 func (m *Machine) trackTasks(tasks []protocol.TaskReport, now time.Duration) {
 	runningSince := make([]time.Duration, len(tasks))
-	m.ExitedTasks, m.TaskListBytes = 0, 0
+	m.ExitedTasks, m.TaskListBytes, m.reappeared = 0, 0, nil
 	for i, t := range tasks {
 		m.TaskListBytes += protocol.MaxTaskReportBytes(t.Task)
+		previous := m.index(t.Task, t.Attempt)
+		if previous < 0 && m.hasEnded(attemptKey{t.Task, t.Attempt}) {
+			m.reappeared = append(m.reappeared, i)
+		}
 		switch t.State {
 		case protocol.Running:
 			runningSince[i] = now
-			if previous := m.index(t.Task, t.Attempt); previous >= 0 && m.runningSince[previous] > 0 {
+			if previous >= 0 && m.runningSince[previous] > 0 {
 				runningSince[i] = m.runningSince[previous]
 			}
 		case protocol.Exited:
