Give a suspected service its other replicas once some have run for a lease

What users saw (random scenarios with faulty machines): a service of nine replicas kept one for good, 20 minutes after the last fault, beside machines with room.

Cause: a job that failed on two machines and succeeded on none is suspected, and starts one task at a time until one succeeds. Replicas never end, so a service that met two faulty machines never got its other replicas.

Fix: a replica that has run for a worker lease takes the place of a success. As many further replicas may be unproven at a time as have proven that the service runs, at least one. The service stays suspected, so its failures still do not count against machines, and one that fails everywhere is tried as rarely as before.

Evidence: TestSuspectedServiceGetsAllReplicasOnceTheyRun fails before (two of six replicas after five minutes).

--- a/internal/core/failures.go
+++ b/internal/core/failures.go
@@ -75,22 +75,45 @@
 }
 
 // delayCanary delays the next canary start of a suspected job with exponential backoff. A canary is
-// the only task of such a job that may run at a time.
+// the only task of such a job that may run at a time, apart from the proven replicas of a service.
 func (c *Core) delayCanary(j *job.Job) {
-	if j.Suspected && len(j.Bound) <= 1 {
+	if j.Suspected && len(j.Bound)-c.provenReplicas(j) <= 1 {
 		j.NotBefore = c.now.Steady + c.reportInterval()<<min(j.CanaryStarts, maxCanaryDoublings)
 		j.CanaryStarts++
 	}
 }
 
 // startAllowance returns how many more tasks of a job may be placed now. A suspected job may have
-// one task at a time unless it is a gang. A job handed off to another site may have none.
+// few tasks at a time unless it is a gang. A job handed off to another site may have none.
 func (c *Core) startAllowance(j *job.Job) int {
 	if c.isOutgoing(j.ID) {
 		return 0
 	}
 	if j.Suspected && j.Kind != job.Gang {
-		return max(0, min(j.PendingTasks(), 1-len(j.Bound)))
+		return max(0, min(j.PendingTasks(), c.canaryAllowance(j)))
 	}
 	return j.PendingTasks()
 }
+
+// canaryAllowance returns how many more canaries of a suspected job may be placed now: one at a time, or,
+// for a service, as many at a time as replicas have proven that the service runs.
+func (c *Core) canaryAllowance(j *job.Job) int {
+	proven := c.provenReplicas(j)
+	canaries := len(j.Bound) - proven
+	return max(1, proven) - canaries
+}
+
+// provenReplicas counts the replicas of a service that have been running for at least a worker lease. A
+// replica never ends, so this takes the place of a task that succeeds.
+func (c *Core) provenReplicas(j *job.Job) (proven int) {
+	if j.Kind != job.Service {
+		return 0
+	}
+	for i, b := range j.Bound {
+		m := c.machines.Get(b.Machine)
+		if m != nil && m.RunningTime(j.TaskID(i), b.Attempt, c.now.Steady) >= c.times.lease() {
+			proven++
+		}
+	}
+	return proven
+}
--- a/internal/core/failures_test.go
+++ b/internal/core/failures_test.go
@@ -87,3 +87,23 @@
 		t.Error("the jobs did not end")
 	}
 }
+
+// Guards against a service that stays at a single replica for good: it failed on two faulty machines, and its
+// replicas never end, so none ever succeeds.
+func TestSuspectedServiceGetsAllReplicasOnceTheyRun(t *testing.T) {
+	const id, replicas = "req-free-1", 6
+	cluster := newIdleSimCluster(t, 10)
+	cluster.broken[id] = true
+	requireAccepted(t, cluster.submit("a", id, replicas, serviceTestFields))
+	suspected := func() bool {
+		leader := cluster.leaderOf("free")
+		return leader != "" && cluster.cores[leader].jobs[id].Suspected
+	}
+	if !cluster.run(time.Minute, suspected) {
+		t.Fatal("the service is not suspected")
+	}
+	cluster.broken[id] = false
+	if !cluster.run(5*time.Minute, func() bool { return cluster.onMachines(id) == replicas }) {
+		t.Errorf("%d replicas run, want %d", cluster.onMachines(id), replicas)
+	}
+}
