Tell reappeared tasks without false alarms, and keep the kind of a queued observation

A leader that learned of an end from a relay page recorded it as proven by the machine's report, so that an older report which arrived later would have been logged as a task that is there again; it is now recorded only where the report shows the exit. An observation whose token was raised before it was sent lost the mark that it is a reply to a probe; only its token is replaced now. An order to forget looks at its own attempt and not at all that are held for the machine.

Evidence: TestQueuedObservationKeepsItsKindWhenItsTokenIsRaised failed before.

--- a/internal/core/deliveries.go
+++ b/internal/core/deliveries.go
@@ -17,8 +17,7 @@
 	}
 	attempt := taskAttempt{o.Command.Task, o.Command.Attempt}
 	if o.Command.Op == protocol.OpForget {
-		session.holdForget(attempt, a.now.Steady)
-		a.releaseForgets(o.Machine, session)
+		a.forgetOrHold(o.Machine, session, attempt)
 		return
 	}
 	session.queuedCommands[attempt] = o.Command
--- a/internal/core/forgetting.go
+++ b/internal/core/forgetting.go
@@ -20,6 +20,27 @@
 	maxForgetDelayIntervals = 6
 )
 
+// forgetOrHold queues the command to forget an attempt, or holds it if the worker may not execute it under
+// the session's token. A command for an attempt that the worker does not report is dropped.
+func (a *agentController) forgetOrHold(machine string, session *agentSession, attempt taskAttempt) {
+	m := a.core.machines.Get(machine)
+	if m == nil {
+		return
+	}
+	if _, reported := m.Find(attempt.task, attempt.attempt); !reported {
+		delete(session.heldForgets, attempt)
+		return
+	}
+	if !m.MayForget(attempt.task, attempt.attempt, session.token) {
+		session.holdForget(attempt, a.now.Steady)
+		return
+	}
+	delete(session.heldForgets, attempt)
+	command := forgetCommand(attempt)
+	session.queuedCommands[attempt] = command
+	a.recordCommand(machine, command)
+}
+
 // holdForget holds the command to forget an attempt.
 func (s *agentSession) holdForget(attempt taskAttempt, now time.Duration) {
 	if len(s.heldForgets) == 0 {
@@ -28,25 +49,10 @@
 	s.heldForgets[attempt] = true
 }
 
-// releaseForgets queues the held forget commands that the worker may execute under the session's token,
-// and drops those of attempts that the worker no longer reports.
+// releaseForgets queues the held commands that the worker may execute under the session's token.
 func (a *agentController) releaseForgets(machine string, session *agentSession) {
-	m := a.core.machines.Get(machine)
-	if m == nil {
-		return
-	}
 	for attempt := range orderedBy(session.heldForgets, compareAttempts) {
-		if _, reported := m.Find(attempt.task, attempt.attempt); !reported {
-			delete(session.heldForgets, attempt)
-			continue
-		}
-		if !m.MayForget(attempt.task, attempt.attempt, session.token) {
-			continue
-		}
-		command := forgetCommand(attempt)
-		session.queuedCommands[attempt] = command
-		a.recordCommand(machine, command)
-		delete(session.heldForgets, attempt)
+		a.forgetOrHold(machine, session, attempt)
 	}
 }
 
--- a/internal/core/messenger.go
+++ b/internal/core/messenger.go
@@ -47,11 +47,11 @@
 	}
 }
 
-// queueObservation queues an observation for the next broadcast. It replaces the one queued last if that
-// is of the same report, under an earlier token.
+// queueObservation queues an observation for the next broadcast. If the one queued last is of the same
+// report, only its token is replaced.
 func (s *messenger) queueObservation(o Observation) {
 	if last := len(s.pendingObservations) - 1; last >= 0 && s.pendingObservations[last].isOfSameReport(&o) {
-		s.pendingObservations[last] = o
+		s.pendingObservations[last].Token = o.Token
 		return
 	}
 	s.pendingObservations = append(s.pendingObservations, o)
--- a/internal/core/messenger_test.go
+++ b/internal/core/messenger_test.go
@@ -75,3 +75,16 @@
 		t.Errorf("message to an unknown controller was sent: %+v", c.effects)
 	}
 }
+
+// Guards against a machine that seems to report on its own after its token was raised by a probe.
+func TestQueuedObservationKeepsItsKindWhenItsTokenIsRaised(t *testing.T) {
+	c := newSimClusterOf(t, fiveNodes).cores["a"]
+	report := protocol.Report{Machine: "vm", WorkerEpoch: 1, Seq: 5}
+	c.queueObservation(Observation{Node: "a", Token: 3, Report: report, Direct: true})
+	c.queueObservation(Observation{Node: "a", Token: 4, Report: report})
+	report.Seq++
+	c.queueObservation(Observation{Node: "a", Token: 4, Report: report})
+	if got := c.pendingObservations; len(got) != 2 || got[0].Token != 4 || !got[0].Direct || got[1].Report.Seq != 6 {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/core/observations.go
+++ b/internal/core/observations.go
@@ -65,13 +65,16 @@
 	}
 }
 
+// taskReappeared is the text of the log message about an attempt that a machine reports after its end.
+const taskReappeared = "ended task is on its machine again"
+
 // reportReappeared logs the attempts that a machine reports although they had ended, with what this node
 // knows of the machine.
 func (c *Core) reportReappeared(m *worker.Machine) {
 	for _, i := range m.TakeReappeared() {
 		t := m.Tasks[i]
 		c.counters.ReappearedTasks++
-		c.log(Error, "ended task is on its machine again", "task", t.Task, "attempt", t.Attempt, "state", t.State,
+		c.log(Error, taskReappeared, "task", t.Task, "attempt", t.Attempt, "state", t.State,
 			"machine", m.Machine, "epoch", m.WorkerEpoch, "token", m.Token, "node", m.Node, "history", m.History())
 	}
 }
--- a/internal/core/simcluster_test.go
+++ b/internal/core/simcluster_test.go
@@ -405,6 +405,10 @@
 	}
 	cluster.repeatEffect(node, e)
 	switch e := e.(type) {
+	case Log:
+		if e.Text == taskReappeared {
+			cluster.t.Errorf("%v: %s: %s %v", cluster.now, node, e.Text, e.Attrs)
+		}
 	case Answer:
 		cluster.answers[e.Req] = e
 	case StoreTxn:
--- a/internal/core/staletasks.go
+++ b/internal/core/staletasks.go
@@ -46,11 +46,12 @@
 		if m == nil {
 			continue
 		}
-		m.RecordEvent(worker.EndStored, j.TaskID(exit.Index), exit.Attempt, r.now.Steady)
 		t, reported := m.Find(j.TaskID(exit.Index), exit.Attempt)
-		b := j.Bound[exit.Index]
-		isBound := b != nil && b.Attempt == exit.Attempt
-		if reported && t.State == protocol.Exited && !isBound {
+		if !reported || t.State != protocol.Exited {
+			continue
+		}
+		m.RecordEvent(worker.EndStored, t.Task, t.Attempt, r.now.Steady)
+		if b := j.Bound[exit.Index]; b == nil || b.Attempt != exit.Attempt {
 			r.stopOrForgetTask(m, t)
 		}
 	}
