Keep the faults of the simulated cluster in a struct of their own

The cluster's struct had grown to 150 lines of switches and state. The 36 fields that inject faults are in simFaults now, which it embeds.

--- a/internal/core/simcluster_test.go
+++ b/internal/core/simcluster_test.go
@@ -15,50 +15,29 @@
 // simCluster simulates controllers, workers, the cloud and the store on a fake clock, and checks
 // the scheduling invariants whenever a task starts.
 type simCluster struct {
-	t            tester
-	rng          *rand.Rand
-	now          time.Duration
-	tick         time.Duration        // the time between two steps of each controller
-	cores        map[string]*Core     // running controllers by name
-	inbox        map[string][]Command // commands for the next step of each controller
-	withoutStore map[string]bool      // controllers that cannot reach the store
+	simFaults
+	t     tester
+	rng   *rand.Rand
+	now   time.Duration
+	tick  time.Duration        // the time between two steps of each controller
+	cores map[string]*Core     // running controllers by name
+	inbox map[string][]Command // commands for the next step of each controller
 
 	kv       map[string]protocol.KeyValue
 	revision uint64
 	events   []protocol.Event
 	seen     map[string]uint64 // the number of events that each controller has received
 	leases   map[uint64]string // the controller that holds each lease
-	outage   bool              // the store is unavailable to all controllers
 
 	workers map[string]*fakeWorker
 	rented  int // the number of machines added so far
-	// loseDeliveries keeps deliveries in heldDeliveries instead of executing them.
-	loseDeliveries bool
-	heldDeliveries []Deliver
-	// delayDeliveries makes one delivery in four run seconds later, without a reply.
-	delayDeliveries bool
-	// repeatDeliveries makes executed deliveries arrive again later.
-	repeatDeliveries bool
-	// repeatMessages makes messages between controllers, transactions, rentals and releases arrive again
-	// later. grantedRentals holds the requests for which machines were rented.
-	repeatMessages bool
-	grantedRentals map[string]bool
-	// lateWrite returns the delay after which a transaction with changes is executed. The sender
-	// does not learn its outcome. Zero executes it immediately.
-	lateWrite func(node string, e StoreTxn) time.Duration
-	// lostReplies is the number of coming transactions whose reply is lost.
-	lostReplies int
 
 	answers map[uint64]Answer // by request
 	nextReq uint64            // the number last used, for requests, leases and incarnations
 	starts  map[string]int    // the number of starts of each task
 	cfg     map[string]*settings.Settings
-	// unlistedMachine is a machine that is missing from the cloud's inventory.
-	unlistedMachine string
 	// requests counts the requests that the controllers send to the store.
 	requests int
-	// nameOneFailedKey makes the store report only the first failed condition of a transaction.
-	nameOneFailedKey bool
 	// unreachableNodes are the controllers that no worker can reach; redirected counts the
 	// redirects of workers to each controller.
 	unreachableNodes map[string]bool
@@ -66,9 +45,6 @@
 	// allowRacingStarts permits tasks to start although their job has ended, as by a start command
 	// that was already in flight when the job was cancelled.
 	allowRacingStarts bool
-	// broken holds jobs whose tasks fail on any machine. faulty holds machines on which any task
-	// fails.
-	broken, faulty map[string]bool
 	// federationConfigs holds the federation configuration of each controller that has one; sent
 	// holds the messages to other sites.
 	federationConfigs map[string]*federation.Config
@@ -82,27 +58,6 @@
 	taskTime time.Duration
 	// types is the cloud's catalog of machine types.
 	types []protocol.MachineType
-	// refusedLinks holds the links between controllers that are down and drop all messages.
-	refusedLinks map[link]bool
-	// slowLinks holds the links that queue messages in heldMessages until they are restored.
-	slowLinks    map[link]bool
-	heldMessages map[link][]PeerMessage
-	// frozen holds the controllers whose process is paused. cutWorkers holds the machines without a
-	// network.
-	frozen     map[string]bool
-	cutWorkers map[string]bool
-	// workersReceivingNothing are the machines whose reports arrive but which receive nothing;
-	// brokenWorkerLinks holds broken links from a controller to a machine.
-	workersReceivingNothing map[string]bool
-	brokenWorkerLinks       map[link]bool
-	// nonReportingWorkers are the machines whose reports reach no controller, while deliveries to
-	// them succeed.
-	nonReportingWorkers map[string]bool
-	// replayReports sends late duplicates of reports from pastReports to random controllers.
-	replayReports bool
-	pastReports   []Heartbeat
-	// cloudDegraded makes the cloud return no catalog and release no machines.
-	cloudDegraded bool
 	// storeUnavailableSince holds the time at which each controller lost the store. A controller is
 	// notified after a report interval; storeLossReported holds those that have been notified.
 	storeUnavailableSince map[string]time.Duration
@@ -111,8 +66,6 @@
 	// time at which each controller last received some.
 	watchLag  time.Duration
 	watchedAt map[string]time.Duration
-	// blockedWatcher is a controller whose watch delivers no events.
-	blockedWatcher string
 	// awaitingSnapshot holds the controllers that wait for a snapshot of the store. awaitingLease
 	// holds those that wait for a lease.
 	awaitingSnapshot, awaitingLease map[string]bool
@@ -124,13 +77,6 @@
 	lists        map[string]*pagedList
 	// scheduledActions are called on every tick until they return true.
 	scheduledActions []func() bool
-	// latency delays messages between controllers by one tick; a crash of their sender loses
-	// those in flight.
-	latency          bool
-	messagesInFlight []inFlightMessage
-	// previousVersion lists the controllers that run the previous version, which does not know the
-	// newer message fields.
-	previousVersion []string
 	// unevenRunTimes makes every second task of a job run three times as long, except in gangs;
 	// recoveryCount counts the calls of recover.
 	unevenRunTimes bool
@@ -142,8 +88,6 @@
 	// cancelConfirmedAt holds the time at which the cancellation of each job was confirmed to its
 	// user. checkCancelDeadlines removes the entry after the deadline.
 	cancelConfirmedAt map[string]time.Duration
-	// rejection, if set, returns the reason for which a machine rejects all starts, or "".
-	rejection func(machine string) string
 	// cancelDeadlines holds the time by which all tasks of each cancelled job must be gone.
 	cancelDeadlines map[string]time.Duration
 	// forgotten is the number of attempts that workers have forgotten on command.
@@ -157,26 +101,11 @@
 	limitZoneCapacity bool
 	controllerZones   map[string]string
 	isolatedZone      string
-	// fullZone is a zone in which the cloud has no capacity left.
-	fullZone string
-	// hungUntil holds the time at which each hung machine resumes.
-	hungUntil map[string]time.Duration
 	// completeGangs holds the gang attempts all of whose tasks have been on machines at the same
 	// time.
 	completeGangs map[taskAttempt]bool
-	// allRestarted is set once all controllers have stopped at the same time. From then on only the
-	// store knows which cancellations were confirmed to users. If the store is unavailable for
-	// longer than cancel_s, only the expiry of the worker's lease ends the tasks on a hung machine.
-	allRestarted bool
-	// delayReports makes some reports get no answer and arrive much later, at any controller.
-	delayReports bool
 	// endedAt holds the time at which the final state of each job was stored.
 	endedAt map[string]time.Duration
-	// notUpgraded holds the controllers that run the previous version, which does not store its
-	// version.
-	notUpgraded map[string]bool
-	// limitsLowered makes the store enforce the announced lower limits.
-	limitsLowered bool
 }
 
 // tester is the common subset of testing.T and rapid.T that a simulated cluster uses.
@@ -201,51 +130,38 @@
 // settings.
 func newSimClusterWithSettings(t tester, names []string, adjustSettings func(*settings.Settings)) *simCluster {
 	cluster := &simCluster{
-		t:                       t,
-		rng:                     rand.New(rand.NewPCG(1, 2)),
-		tick:                    100 * time.Millisecond,
-		names:                   names,
-		adjustSettings:          adjustSettings,
-		maxMachines:             40,
-		taskTime:                5 * time.Second,
-		specs:                   map[string]*job.Spec{},
-		endedAt:                 map[string]time.Duration{},
-		notUpgraded:             map[string]bool{},
-		hungUntil:               map[string]time.Duration{},
-		completeGangs:           map[taskAttempt]bool{},
-		cores:                   map[string]*Core{},
-		inbox:                   map[string][]Command{},
-		withoutStore:            map[string]bool{},
-		kv:                      map[string]protocol.KeyValue{},
-		seen:                    map[string]uint64{},
-		leases:                  map[uint64]string{},
-		workers:                 map[string]*fakeWorker{},
-		answers:                 map[uint64]Answer{},
-		starts:                  map[string]int{},
-		broken:                  map[string]bool{},
-		faulty:                  map[string]bool{},
-		unreachableNodes:        map[string]bool{},
-		redirected:              map[string]int{},
-		cfg:                     map[string]*settings.Settings{},
-		refusedLinks:            map[link]bool{},
-		slowLinks:               map[link]bool{},
-		heldMessages:            map[link][]PeerMessage{},
-		frozen:                  map[string]bool{},
-		cutWorkers:              map[string]bool{},
-		workersReceivingNothing: map[string]bool{},
-		nonReportingWorkers:     map[string]bool{},
-		brokenWorkerLinks:       map[link]bool{},
-		storeUnavailableSince:   map[string]time.Duration{},
-		storeLossReported:       map[string]bool{},
-		awaitingSnapshot:        map[string]bool{},
-		awaitingLease:           map[string]bool{},
-		lists:                   map[string]*pagedList{},
-		watchedAt:               map[string]time.Duration{},
-		cancelConfirmedAt:       map[string]time.Duration{},
-		grantedRentals:          map[string]bool{},
-		cancelDeadlines:         map[string]time.Duration{},
-		completed:               map[string]bool{},
-		tokenOwners:             map[uint64]string{},
+		simFaults:             newSimFaults(),
+		t:                     t,
+		rng:                   rand.New(rand.NewPCG(1, 2)),
+		tick:                  100 * time.Millisecond,
+		names:                 names,
+		adjustSettings:        adjustSettings,
+		maxMachines:           40,
+		taskTime:              5 * time.Second,
+		specs:                 map[string]*job.Spec{},
+		endedAt:               map[string]time.Duration{},
+		completeGangs:         map[taskAttempt]bool{},
+		cores:                 map[string]*Core{},
+		inbox:                 map[string][]Command{},
+		kv:                    map[string]protocol.KeyValue{},
+		seen:                  map[string]uint64{},
+		leases:                map[uint64]string{},
+		workers:               map[string]*fakeWorker{},
+		answers:               map[uint64]Answer{},
+		starts:                map[string]int{},
+		unreachableNodes:      map[string]bool{},
+		redirected:            map[string]int{},
+		cfg:                   map[string]*settings.Settings{},
+		storeUnavailableSince: map[string]time.Duration{},
+		storeLossReported:     map[string]bool{},
+		awaitingSnapshot:      map[string]bool{},
+		awaitingLease:         map[string]bool{},
+		lists:                 map[string]*pagedList{},
+		watchedAt:             map[string]time.Duration{},
+		cancelConfirmedAt:     map[string]time.Duration{},
+		cancelDeadlines:       map[string]time.Duration{},
+		completed:             map[string]bool{},
+		tokenOwners:           map[uint64]string{},
 	}
 	cluster.types = []protocol.MachineType{
 		{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPS: 1, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"z1", "z2"}},
--- a/internal/core/simfaults_test.go
+++ b/internal/core/simfaults_test.go
@@ -6,6 +6,102 @@
 	"time"
 )
 
+// simFaults holds the faults that a simulated cluster can have, all of which are off at first.
+type simFaults struct {
+	withoutStore map[string]bool // controllers that cannot reach the store
+	outage       bool            // the store is unavailable to all controllers
+	// loseDeliveries keeps deliveries in heldDeliveries instead of executing them.
+	loseDeliveries bool
+	heldDeliveries []Deliver
+	// delayDeliveries makes one delivery in four run seconds later, without a reply.
+	delayDeliveries bool
+	// repeatDeliveries makes executed deliveries arrive again later.
+	repeatDeliveries bool
+	// repeatMessages makes messages between controllers, transactions, rentals and releases arrive again
+	// later. grantedRentals holds the requests for which machines were rented.
+	repeatMessages bool
+	grantedRentals map[string]bool
+	// lateWrite returns the delay after which a transaction with changes is executed. The sender
+	// does not learn its outcome. Zero executes it immediately.
+	lateWrite func(node string, e StoreTxn) time.Duration
+	// lostReplies is the number of coming transactions whose reply is lost.
+	lostReplies int
+	// unlistedMachine is a machine that is missing from the cloud's inventory.
+	unlistedMachine string
+	// nameOneFailedKey makes the store report only the first failed condition of a transaction.
+	nameOneFailedKey bool
+	// broken holds jobs whose tasks fail on any machine. faulty holds machines on which any task
+	// fails.
+	broken, faulty map[string]bool
+	// refusedLinks holds the links between controllers that are down and drop all messages.
+	refusedLinks map[link]bool
+	// slowLinks holds the links that queue messages in heldMessages until they are restored.
+	slowLinks    map[link]bool
+	heldMessages map[link][]PeerMessage
+	// frozen holds the controllers whose process is paused. cutWorkers holds the machines without a
+	// network.
+	frozen     map[string]bool
+	cutWorkers map[string]bool
+	// workersReceivingNothing are the machines whose reports arrive but which receive nothing;
+	// brokenWorkerLinks holds broken links from a controller to a machine.
+	workersReceivingNothing map[string]bool
+	brokenWorkerLinks       map[link]bool
+	// nonReportingWorkers are the machines whose reports reach no controller, while deliveries to
+	// them succeed.
+	nonReportingWorkers map[string]bool
+	// replayReports sends late duplicates of reports from pastReports to random controllers.
+	replayReports bool
+	pastReports   []Heartbeat
+	// cloudDegraded makes the cloud return no catalog and release no machines.
+	cloudDegraded bool
+	// blockedWatcher is a controller whose watch delivers no events.
+	blockedWatcher string
+	// latency delays messages between controllers by one tick; a crash of their sender loses
+	// those in flight.
+	latency          bool
+	messagesInFlight []inFlightMessage
+	// previousVersion lists the controllers that run the previous version, which does not know the
+	// newer message fields.
+	previousVersion []string
+	// rejection, if set, returns the reason for which a machine rejects all starts, or "".
+	rejection func(machine string) string
+	// fullZone is a zone in which the cloud has no capacity left.
+	fullZone string
+	// hungUntil holds the time at which each hung machine resumes.
+	hungUntil map[string]time.Duration
+	// allRestarted is set once all controllers have stopped at the same time. From then on only the
+	// store knows which cancellations were confirmed to users. If the store is unavailable for
+	// longer than cancel_s, only the expiry of the worker's lease ends the tasks on a hung machine.
+	allRestarted bool
+	// delayReports makes some reports get no answer and arrive much later, at any controller.
+	delayReports bool
+	// notUpgraded holds the controllers that run the previous version, which does not store its
+	// version.
+	notUpgraded map[string]bool
+	// limitsLowered makes the store enforce the announced lower limits.
+	limitsLowered bool
+}
+
+// newSimFaults returns faults that are all off.
+func newSimFaults() simFaults {
+	return simFaults{
+		notUpgraded:             map[string]bool{},
+		hungUntil:               map[string]time.Duration{},
+		withoutStore:            map[string]bool{},
+		broken:                  map[string]bool{},
+		faulty:                  map[string]bool{},
+		refusedLinks:            map[link]bool{},
+		slowLinks:               map[link]bool{},
+		heldMessages:            map[link][]PeerMessage{},
+		frozen:                  map[string]bool{},
+		cutWorkers:              map[string]bool{},
+		workersReceivingNothing: map[string]bool{},
+		nonReportingWorkers:     map[string]bool{},
+		brokenWorkerLinks:       map[link]bool{},
+		grantedRentals:          map[string]bool{},
+	}
+}
+
 // stopAllFor stops all controllers and restarts them after d.
 func (cluster *simCluster) stopAllFor(d time.Duration) {
 	cluster.allRestarted = true
