Tell a forgotten task that runs again before a report without it, and build starts once

The log line on reappeared tasks missed an attempt that started again between two reports, the first of which showed it as exited. That counts as well now. sendStart and startForLeader built the same request but for the revision; both use startOf.

--- a/internal/core/relaystarts.go
+++ b/internal/core/relaystarts.go
@@ -60,15 +60,7 @@
 // startForLeader forwards the start command for a task whose leader may not be able to request it.
 func (r *storeRelay) startForLeader(j *job.Job, i int, b *job.Binding) {
 	r.log(Debug, "task started for an unreachable leader", "task", j.TaskID(i), "attempt", b.Attempt, "machine", b.Machine)
-	r.core.agents.forwardStart(r.core.teamsByName[j.Team].leader, Start{
-		Machine:  b.Machine,
-		Task:     j.TaskID(i),
-		Attempt:  b.Attempt,
-		Token:    b.Token,
-		Epoch:    b.Epoch,
-		Need:     j.Need,
-		Revision: r.core.replica.revision,
-	})
+	r.core.agents.forwardStart(r.core.teamsByName[j.Team].leader, startOf(j, i, b, r.core.replica.revision))
 }
 
 // forgetForUnreachableLeaders commands a machine's worker to forget exited tasks whose end their
--- a/internal/core/starts.go
+++ b/internal/core/starts.go
@@ -46,15 +46,21 @@
 		return
 	}
 	r.log(Debug, "start sent", "task", j.TaskID(i), "attempt", b.Attempt, "machine", b.Machine)
-	r.core.sendTo(m.Node, PeerMessage{Start: &Start{
+	start := startOf(j, i, b, j.Version)
+	r.core.sendTo(m.Node, PeerMessage{Start: &start})
+}
+
+// startOf returns the request to start task i, whose binding exists at a store revision.
+func startOf(j *job.Job, i int, b *job.Binding, revision uint64) Start {
+	return Start{
 		Machine:  b.Machine,
 		Task:     j.TaskID(i),
 		Attempt:  b.Attempt,
 		Token:    b.Token,
 		Epoch:    b.Epoch,
 		Need:     j.Need,
-		Revision: j.Version,
-	}})
+		Revision: revision,
+	}
 }
 
 // handleRefusal removes a binding whose start command was refused: the command was not forwarded to
--- a/internal/core/worker/history.go
+++ b/internal/core/worker/history.go
@@ -91,8 +91,8 @@
 	return false
 }
 
-// TakeReappeared removes and returns the attempts that the latest report shows although they had ended
-// before, or were proven absent, and the report before did not show them.
+// TakeReappeared removes and returns the positions of the attempts that the latest report shows although
+// they had ended before, or were proven absent, and that the report before did not show, or showed as exited.
 func (m *Machine) TakeReappeared() []int {
 	reappeared := m.reappeared
 	m.reappeared = nil
--- a/internal/core/worker/history_test.go
+++ b/internal/core/worker/history_test.go
@@ -12,16 +12,19 @@
 func TestAttemptThatAppearsAfterItsEndIsDetected(t *testing.T) {
 	const task, attempt = "req-1/0", 3
 	shown := []protocol.TaskReport{{Task: task, Attempt: attempt, State: protocol.Running}}
+	exited := []protocol.TaskReport{{Task: task, Attempt: attempt, State: protocol.Exited}}
 	for name, c := range map[string]struct {
 		events  []EventKind
 		reports [][]protocol.TaskReport
 		want    []int
 	}{
-		"first shown":                   {[]EventKind{StartSent}, [][]protocol.TaskReport{shown}, nil},
-		"again after it was forgotten":  {[]EventKind{StartSent, ForgetSent}, [][]protocol.TaskReport{nil, shown}, []int{0}},
-		"again after its end is stored": {[]EventKind{EndStored}, [][]protocol.TaskReport{nil, shown}, []int{0}},
-		"shown although proven absent":  {[]EventKind{ProvenAbsent}, [][]protocol.TaskReport{shown}, []int{0}},
-		"stopped and still shown":       {[]EventKind{StopSent}, [][]protocol.TaskReport{nil, shown}, nil},
+		"first shown":                    {[]EventKind{StartSent}, [][]protocol.TaskReport{shown}, nil},
+		"again after it was forgotten":   {[]EventKind{StartSent, ForgetSent}, [][]protocol.TaskReport{nil, shown}, []int{0}},
+		"again after its end is stored":  {[]EventKind{EndStored}, [][]protocol.TaskReport{nil, shown}, []int{0}},
+		"running although it had exited": {[]EventKind{ForgetSent}, [][]protocol.TaskReport{exited, shown}, []int{0}},
+		"still exited":                   {[]EventKind{ForgetSent}, [][]protocol.TaskReport{shown, exited, exited}, nil},
+		"shown although proven absent":   {[]EventKind{ProvenAbsent}, [][]protocol.TaskReport{shown}, []int{0}},
+		"stopped and still shown":        {[]EventKind{StopSent}, [][]protocol.TaskReport{nil, shown}, nil},
 	} {
 		m := &Machine{}
 		for _, kind := range c.events {
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -127,12 +127,13 @@
 // trackTask returns what is known of the task at a position of a new report.
 func (m *Machine) trackTask(position int, t protocol.TaskReport, r *protocol.Report) trackedTask {
 	previous := m.index(t.Task, t.Attempt)
+	wasGone := previous < 0 || m.Tasks[previous].State == protocol.Exited && t.State != protocol.Exited
+	if wasGone && m.hasEnded(attemptKey{t.Task, t.Attempt}) {
+		m.reappeared = append(m.reappeared, position)
+	}
 	if previous >= 0 && r.WorkerEpoch == m.WorkerEpoch {
 		return m.tracked[previous]
 	}
-	if previous < 0 && m.hasEnded(attemptKey{t.Task, t.Attempt}) {
-		m.reappeared = append(m.reappeared, position)
-	}
 	return trackedTask{shownUnder: r.Token}
 }
 
