Let -rapid.checks=100 on the command line take precedence too

A flag of the property tests that was given with its default value was taken for one that was not given, so -rapid.checks=100 ran two scenarios and passed. Flags that were given are told by flag.Visit now: -rapid.checks=100 runs 100.

--- a/internal/testseed/testseed.go
+++ b/internal/testseed/testseed.go
@@ -23,11 +23,8 @@
 	flag.Parse()
 	flags := maps.Clone(defaultFlags)
 	maps.Copy(flags, additional)
+	flag.Visit(func(given *flag.Flag) { delete(flags, given.Name) })
 	for name, value := range flags {
-		f := flag.Lookup(name)
-		if f.Value.String() != f.DefValue {
-			continue
-		}
 		if err := flag.Set(name, value); err != nil {
 			panic(err) // rapid defines the flag and accepts the value
 		}
