Rent machines for a suspected service whose replicas have proven that it runs

A suspected job rents nothing while any machine could hold one of its tasks, whichever zones its other tasks leave open to it.

Fix: this holds only until a replica has run for a lease; then the service is demand like any other, as many replicas at a time as have proven it.

Evidence: the row "spread" of TestSuspectedServiceGetsAllReplicasOnceTheyRun fails before (three of six replicas).

--- a/internal/core/failures_test.go
+++ b/internal/core/failures_test.go
@@ -88,22 +88,29 @@
 	}
 }
 
-// Guards against a service that stays at a single replica for good: it failed on two faulty machines, and its
+// Guards against a service that never gets all its replicas: it failed on two faulty machines, and its
 // replicas never end, so none ever succeeds.
 func TestSuspectedServiceGetsAllReplicasOnceTheyRun(t *testing.T) {
 	const id, replicas = "req-free-1", 6
-	cluster := newIdleSimCluster(t, 10)
-	cluster.broken[id] = true
-	requireAccepted(t, cluster.submit("a", id, replicas, serviceTestFields))
-	suspected := func() bool {
-		leader := cluster.leaderOf("free")
-		return leader != "" && cluster.cores[leader].jobs[id].Suspected
-	}
-	if !cluster.run(time.Minute, suspected) {
-		t.Fatal("the service is not suspected")
-	}
-	cluster.broken[id] = false
-	if !cluster.run(5*time.Minute, func() bool { return cluster.onMachines(id) == replicas }) {
-		t.Errorf("%d replicas run, want %d", cluster.onMachines(id), replicas)
+	for name, fields := range map[string]string{
+		"anywhere":                     "",
+		"spread, machines of one zone": `,"spread":true`,
+	} {
+		cluster := newIdleSimCluster(t, 10)
+		cluster.fullZone, cluster.broken[id] = "z2", true
+		requireAccepted(t, cluster.submit("a", id, replicas, serviceTestFields+fields))
+		suspected := func() bool {
+			leader := cluster.leaderOf("free")
+			return leader != "" && cluster.cores[leader].jobs[id].Suspected
+		}
+		if !cluster.run(time.Minute, suspected) {
+			t.Fatalf("%s: the service is not suspected", name)
+		}
+		cluster.broken[id] = false
+		cluster.run(time.Minute, nil)
+		cluster.fullZone = ""
+		if !cluster.run(5*time.Minute, func() bool { return cluster.onMachines(id) == replicas }) {
+			t.Errorf("%s: %d replicas run, want %d", name, cluster.onMachines(id), replicas)
+		}
 	}
 }
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -151,9 +151,9 @@
 
 // handleUnplaced records that no host has capacity for a job. A suspected job runs one canary
 // task at a time and causes no rentals or reservations, unless no existing host could hold the
-// task.
+// task, or replicas have proven that it runs.
 func (r *round) handleUnplaced(queue *teamQueue, j *job.Job, p *jobPlacement) {
-	if j.Suspected && fitsAnyWhenEmpty(&j.Spec, r.openHosts) {
+	if j.Suspected && r.core.provenReplicas(j) == 0 && fitsAnyWhenEmpty(&j.Spec, r.openHosts) {
 		return
 	}
 	r.addUnplacedDemand(queue, j, p.unplaced)
