Spend at most a fiftieth of the store's changes on tokens that let workers forget

Cause: five controllers that may take a token every second report interval each can use 1.7 changes a second, up to a ninth of that store's limit. And a worker that had waited six report intervals for a token got it even while starts were on their way, although the token had only just come.

Fix: all controllers together take such tokens for no more than 0.02 of the store's changes; what starts on their way may delay is counted from the moment when a newer token is there.

Evidence: TestTokensToForgetTakeSmallShareOfChanges, 81 tokens in two minutes before, at most 22 are allowed.

--- a/internal/core/forgetting.go
+++ b/internal/core/forgetting.go
@@ -13,13 +13,23 @@
 
 const (
 	// forgetTokenIntervals is the minimum number of report intervals between two tokens that are acquired
-	// only so that workers can forget tasks. Each costs a change in the store.
+	// only so that workers can forget tasks.
 	forgetTokenIntervals = 2
-	// maxForgetDelayIntervals is the number of report intervals after which a worker's token is raised
-	// although starts are on their way: they are refused, and their tasks are bound again.
+	// forgetTokenShare is the share of the store's changes that all controllers together may spend on such
+	// tokens.
+	forgetTokenShare = 0.02
+	// maxForgetDelayIntervals is the number of report intervals for which a worker's token is not raised
+	// because starts are on their way. After that they are refused, and their tasks are bound again.
 	maxForgetDelayIntervals = 6
 )
 
+// forgetTokenInterval returns the minimum time between two tokens that this node acquires only so that
+// workers can forget tasks.
+func (a *agentController) forgetTokenInterval() time.Duration {
+	tokensPerSecond := forgetTokenShare * a.core.limits.writeRate() / float64(a.core.members.size())
+	return max(forgetTokenIntervals*a.reportInterval(), seconds(1/tokensPerSecond))
+}
+
 // forgetOrHold queues the command to forget an attempt, or holds it if the worker may not execute it under
 // the session's token. A command for an attempt that the worker does not report is dropped.
 func (a *agentController) forgetOrHold(machine string, session *agentSession, attempt taskAttempt) {
@@ -61,7 +71,7 @@
 	if a.now.Steady < a.tokens.nextForgetToken || !a.lacksTokenToForget() {
 		return
 	}
-	a.tokens.nextForgetToken = a.now.Steady + forgetTokenIntervals*a.reportInterval()
+	a.tokens.nextForgetToken = a.now.Steady + a.forgetTokenInterval()
 	a.acquireToken()
 }
 
@@ -84,21 +94,19 @@
 	if m == nil || session.delivering || len(session.queuedStarts) > 0 {
 		return
 	}
-	if a.areForgetsOverdue(session) || len(session.pendingStarts) == 0 && !a.awaitsStarts(m) {
+	delayedSince := max(session.forgetsHeldSince, a.tokens.acquiredAt)
+	isOverdue := a.now.Steady-delayedSince > maxForgetDelayIntervals*a.reportInterval()
+	if isOverdue || len(session.pendingStarts) == 0 && !a.awaitsStarts(m) {
 		a.core.counters.RaisesToForget++
 		a.moveToCurrentToken(machine, session)
 	}
 }
 
-// areForgetsOverdue reports whether a worker has waited too long to forget tasks.
-func (a *agentController) areForgetsOverdue(session *agentSession) bool {
-	return len(session.heldForgets) > 0 && a.now.Steady-session.forgetsHeldSince > maxForgetDelayIntervals*a.reportInterval()
-}
-
-// needsTokenFromPeer reports whether a worker should get a higher token from another controller: it has
-// waited too long for one, and this node cannot acquire any without the store.
+// needsTokenFromPeer reports whether a worker should get a higher token from another controller, to forget
+// tasks: it has waited for one, and this node cannot acquire any without the store.
 func (a *agentController) needsTokenFromPeer(session *agentSession) bool {
-	return !a.core.storeOK && session.token >= a.tokens.current && a.areForgetsOverdue(session)
+	return !a.core.storeOK && session.token >= a.tokens.current && len(session.heldForgets) > 0 &&
+		a.now.Steady-session.forgetsHeldSince > maxForgetDelayIntervals*a.reportInterval()
 }
 
 // awaitsStarts reports whether the start of a task may be on its way to a machine: the task is bound to
--- a/internal/core/forgetting_test.go
+++ b/internal/core/forgetting_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
 )
 
 const (
@@ -292,3 +293,22 @@
 	}
 	t.Logf("task lists of up to %d bytes, %d starts", maxBytes, cluster.totalStarts())
 }
+
+// Guards against tokens that use up the changes of a store that allows few.
+func TestTokensToForgetTakeSmallShareOfChanges(t *testing.T) {
+	const writeRPS, seconds, otherTokensOfEach = 5, 120, 2
+	cluster := newSimClusterWithSettings(t, fiveNodes, func(s *settings.Settings) { s.Params.State.WriteRPS = writeRPS })
+	cluster.maxMachines, cluster.taskTime = 20, 3*time.Second
+	for i := range cluster.maxMachines {
+		cluster.addWorker(fmt.Sprintf("z%d", 1+i%2), false)
+	}
+	cluster.waitUntilReady()
+	requireAccepted(t, cluster.submit("a", forgetTestJob, 4000, ""))
+	cluster.run(10*time.Second, nil)
+	before := len(cluster.tokenOwners)
+	cluster.run(seconds*time.Second, nil)
+	limit := int(forgetTokenShare*writeRPS*seconds) + otherTokensOfEach*len(cluster.names)
+	if tokens := len(cluster.tokenOwners) - before; tokens > limit || cluster.forgotten == 0 {
+		t.Errorf("%d tokens were acquired and %d tasks forgotten, want at most %d tokens", tokens, cluster.forgotten, limit)
+	}
+}
--- a/internal/core/tokens.go
+++ b/internal/core/tokens.go
@@ -12,8 +12,9 @@
 // come from a counter in the store. A worker obeys only commands under the highest token that it
 // has seen, so once a worker's token is raised, start commands under lower ones have no effect.
 type fencingTokens struct {
-	// current is the newest token of this node, or 0 before the first.
-	current uint64
+	// current is the newest token of this node, or 0 before the first. acquiredAt is when it was acquired.
+	current    uint64
+	acquiredAt time.Duration
 	// acquired holds all tokens that this incarnation has acquired.
 	acquired map[uint64]bool
 	// acquiring is set while a token is being taken from the counter.
@@ -95,7 +96,7 @@
 
 // tokenAcquired makes a token the current one, and applies it to all workers that wait for it.
 func (a *agentController) tokenAcquired(token uint64) {
-	a.tokens.current = token
+	a.tokens.current, a.tokens.acquiredAt = token, a.now.Steady
 	a.tokens.acquired[token] = true
 	a.log(Info, "fencing token acquired", "token", token)
 	waiting := a.tokens.takeWaitingHeartbeats()
