--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,4 +7,4 @@
 	echo "build the project and run review/build-2.sh first" >&2
 	exit 2
 fi
-exec "$root/target/standins2" headroom "$root" "$PWD/record.txt"
+exec "$root/target/standins2" team-demand "$root" "$PWD/record.txt"
--- a/review/_standins2/link.go
+++ b/review/_standins2/link.go
@@ -23,6 +23,8 @@
 	passing linkMode = iota
 	// refusing closes connections at once, open ones too.
 	refusing
+	// refusingNew closes new connections at once. Open ones stay.
+	refusingNew
 	// holding keeps what is sent until the link passes again. New connections hang.
 	holding
 )
@@ -32,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{address: ln.Addr().String(), to: to, conns: map[net.Conn]bool{}, ctx: ctx}
+	l := &link{address: ln.Addr().String(), to: to, mode: passing, conns: map[net.Conn]bool{}, ctx: ctx}
 	context.AfterFunc(ctx, func() { ln.Close(); l.set(refusing) })
 	go func() {
 		for {
@@ -69,12 +71,12 @@
 	for l.current() == holding && l.ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
 	}
-	return l.current() == passing
+	return l.current() != refusing
 }
 
 func (l *link) pass(in net.Conn) {
 	defer in.Close()
-	if !l.awaitPassing() {
+	if !l.awaitPassing() || l.current() == refusingNew {
 		return
 	}
 	out, err := net.DialTimeout("tcp4", l.to, 2*time.Second)
--- a/review/_standins2/state.go
+++ b/review/_standins2/state.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,11 +21,13 @@
 	mu sync.Mutex
 	kv *emulator.KeyValueStore
 	// down is set during an outage. refused holds the controllers that alone get 503.
-	down    bool
-	refused map[int]bool
-	changed chan struct{}
-	writes  bucket
-	reqs    bucket
+	down bool
+	// downAfterCancel starts an outage once the next cancellation is stored.
+	downAfterCancel bool
+	refused         map[int]bool
+	changed         chan struct{}
+	writes          bucket
+	reqs            bucket
 }
 
 // bucket is a token bucket that holds one second's worth.
@@ -74,17 +77,6 @@
 	s.changed = make(chan struct{})
 }
 
-// setDown starts or ends an outage.
-func (s *stateService) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down && !down {
-		s.kv.ExtendLeases(s.w.now())
-	}
-	s.down = down
-	s.w.rec.add("state service down=%v", down)
-}
-
 // setRefused starts or ends a spell in which one controller alone gets 503.
 func (s *stateService) setRefused(node int, refused bool) {
 	s.mu.Lock()
@@ -228,6 +220,10 @@
 			s.wake()
 		}
 		reply(rw, 200, result)
+		if s.downAfterCancel && slices.ContainsFunc(txn.Then, func(c protocol.Change) bool { return strings.HasPrefix(c.Put, "j/c/") }) {
+			s.downAfterCancel, s.down = false, true
+			s.w.rec.add("TROUBLE begins: the state service is down, just after it has stored the cancellation")
+		}
 	}
 }
 
--- a/review/_standins2/world.go
+++ b/review/_standins2/world.go
@@ -326,17 +326,6 @@
 	w.ctrls[i].signal(syscall.SIGKILL)
 }
 
-// freeze stops a controller for a while.
-func (w *world) freeze(i int, d time.Duration) {
-	w.rec.add("TROUBLE: %s stands still for %v", w.ctrls[i].node, d)
-	w.ctrls[i].signal(syscall.SIGSTOP)
-	go func() {
-		wait(w.ctx, d)
-		w.ctrls[i].signal(syscall.SIGCONT)
-		w.rec.add("%s goes on", w.ctrls[i].node)
-	}()
-}
-
 // probe asks each controller for its health, as the load balancer does.
 func (w *world) probe() {
 	client := &http.Client{Timeout: time.Second}
