--- a/review/_standins2/case_alone.go
+++ b/review/_standins2/case_alone.go
@@ -13,6 +13,17 @@
 	return cfg
 }
 
+// setLinks sets what the links between all controllers do.
+func (w *world) setLinks(mode linkMode) {
+	for _, row := range w.links {
+		for _, l := range row {
+			if l != nil {
+				l.set(mode)
+			}
+		}
+	}
+}
+
 // toldAlone: a controller crashes and is back while connections between controllers are refused. A user
 // cancels there, the state service stores it and is down from then on, and the controller crashes again.
 func toldAlone(r *caseRun) verdict {
@@ -33,13 +44,7 @@
 	const alone = 0
 	if r.trouble {
 		r.rec.add("TROUBLE begins: new connections between controllers are refused")
-		for _, row := range w.links {
-			for _, l := range row {
-				if l != nil {
-					l.set(refusingNew)
-				}
-			}
-		}
+		w.setLinks(refusingNew)
 		w.state.mu.Lock()
 		w.state.downAfterCancel = true
 		w.state.mu.Unlock()
@@ -61,6 +66,8 @@
 	r.rec.add("user %s: %s withdraw -> %d %s", j.UID, c.node, status, text)
 	if r.trouble {
 		w.crash(alone)
+		w.setLinks(passing)
+		r.rec.add("TROUBLE ends: connections between controllers are accepted again")
 	}
 	if status != 200 || state.State != "cancelled" {
 		r.rec.add("the cancellation is not confirmed")
