--- a/review/_standins2/main.go
+++ b/review/_standins2/main.go
@@ -58,7 +58,7 @@
 	} else {
 		fmt.Fprintln(os.Stderr, dir)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, 118*time.Second)
 	defer cancel()
