Confirm a cancellation only once a second controller is known to know of it

Cause: a peer of an earlier version cannot acknowledge a cancellation and is trusted to learn of it. A peer counted as one if it was in contact and its newest heartbeat had no ID. A peer that was never heard counted as in contact for the first report interval of the process, since its last contact was 0, and a peer whose first messages were reports or claims had no heartbeat ID yet.

Change: lastseen.Time distinguishes "never" from a time. Relying on a peer needs a message from it; giving it up needs a report interval of listening. A peer is of an earlier version only if a heartbeat without ID has arrived. That no other controller runs needs silence as well as no registration. A cancelled job whose head is deleted has no task left, so its state is told without a second controller. Controllers of the simulated cluster start their steady clock at 0, as processes do; that hid the fault.

--- a/internal/core/announcer.go
+++ b/internal/core/announcer.go
@@ -71,13 +71,26 @@
 // running controller would know of the confirmed cancellation.
 func (a *announcer) announce(id string) {
 	announcement := a.find(id)
-	if announcement == nil || a.core.peerReachability.knownToSecondController(announcement) {
+	if announcement == nil || a.mayConfirm(announcement) {
 		return
 	}
 	a.core.broadcast(PeerMessage{Cancellations: []Cancellation{announcement.Cancellation}})
 	a.unconfirmed[id] = announcement
 }
 
+// mayConfirm reports whether users may be told of a cancellation: a second controller knows of it, or
+// the job needs no stopping any more.
+func (a *announcer) mayConfirm(announcement *cancelAnnouncement) bool {
+	return a.hasEnded(announcement) || a.core.peerReachability.knownToSecondController(announcement)
+}
+
+// hasEnded reports whether the replica shows that the head of a cancelled job was deleted, as it is once
+// no task of the job is left.
+func (a *announcer) hasEnded(announcement *cancelAnnouncement) bool {
+	c, id := a.core, announcement.Job
+	return c.jobs[id] == nil && c.replica.reflects(announcement.Revision) && !c.replica.reloading && !c.isOutgoing(id)
+}
+
 // deferLookup defers a lookup of a cancelled job until another controller knows of the
 // cancellation. It returns false if there is nothing to wait for.
 func (a *announcer) deferLookup(request lookup.Request) bool {
@@ -97,7 +110,7 @@
 func (a *announcer) resolveLookups() {
 	for id, announcement := range ordered(a.unconfirmed) {
 		outcome := lookup.Unavailable
-		if a.core.peerReachability.knownToSecondController(announcement) {
+		if a.mayConfirm(announcement) {
 			outcome = lookup.Final
 			delete(a.unconfirmed, id)
 		}
--- a/internal/core/nodeheartbeat.go
+++ b/internal/core/nodeheartbeat.go
@@ -48,7 +48,7 @@
 	if peer == nil {
 		return
 	}
-	peer.applyHeartbeat(&heartbeat)
+	peer.applyHeartbeat(&heartbeat, c.now.Steady)
 	c.freshness.recordAcknowledgements(peer, &heartbeat)
 	for name, usage := range heartbeat.Records {
 		if t := c.teamsByName[name]; t != nil && !t.leading {
--- a/internal/core/peertable.go
+++ b/internal/core/peertable.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"pepperlever/internal/core/lastseen"
 	"pepperlever/internal/settings"
 )
 
@@ -15,7 +16,8 @@
 	// names lists the other controllers in the order of the settings.
 	names  []string
 	states map[string]*peerState
-	// contactTimeout is the time without messages from a peer after which inContact is false for it.
+	// contactTimeout is the time without messages from a peer after which it is not in contact but
+	// silent.
 	contactTimeout time.Duration
 }
 
@@ -23,15 +25,16 @@
 type peerState struct {
 	// connected is set while messages can be sent to the peer.
 	connected bool
+	// lastContact is when the newest message of the peer arrived, lastHeartbeat when its newest
+	// heartbeat did, as a message or through the store relay.
+	lastContact, lastHeartbeat lastseen.Time
 	// storeOK is set while the store replies to the peer.
-	storeOK     bool
-	lastContact time.Duration
+	storeOK bool
 	// pendingWrites counts the peer's job changes that wait to be stored.
 	pendingWrites changesByRank
 	// revision is the newest revision that the peer's replica is known to have reached.
 	revision uint64
-	// lastHeartbeatID is the ID of the peer's newest heartbeat. It is empty for a peer of an
-	// earlier version that neither identifies nor acknowledges heartbeats.
+	// lastHeartbeatID is the ID of the peer's newest heartbeat, see isEarlierVersion.
 	lastHeartbeatID string
 	// freshUntil is the time up to which the peer has announced to this node every cancellation
 	// that it knew of.
@@ -83,15 +86,23 @@
 // intermediary.
 func (t *peerTable) recordContact(node string, now time.Duration) {
 	if p := t.states[node]; p != nil {
-		p.lastContact = now
+		p.lastContact.Record(now)
 	}
 }
 
 // inContact reports whether a message from a node has arrived recently. A node is always in
-// contact with itself.
+// contact with itself. Shortly after the start of this node, a peer may be neither in contact nor
+// silent: decisions that rely on a peer need inContact, decisions that give it up need isSilent.
 func (t *peerTable) inContact(node string, now time.Duration) bool {
 	p := t.states[node]
-	return node == t.self || p != nil && now-p.lastContact < t.contactTimeout
+	return node == t.self || p != nil && p.lastContact.Within(now, t.contactTimeout)
+}
+
+// isSilent reports whether this node has waited for a message from another node for so long that
+// messages from there probably do not arrive.
+func (t *peerTable) isSilent(node string, now time.Duration) bool {
+	p := t.states[node]
+	return node != t.self && (p == nil || p.lastContact.AbsentFor(now, t.contactTimeout))
 }
 
 // canServeWorkers reports whether a peer is connected and is likely to be able to serve
@@ -151,7 +162,7 @@
 func (t *peerTable) reportStoreOutage(now time.Duration) bool {
 	recent, withoutStore := 0, 0
 	for _, p := range t.states {
-		if now-p.lastContact >= 2*t.contactTimeout {
+		if p.lastContact.AbsentFor(now, 2*t.contactTimeout) {
 			continue
 		}
 		recent++
@@ -171,8 +182,13 @@
 	return now
 }
 
+// isEarlierVersion reports whether the peer is known to run an earlier version, which neither
+// identifies nor acknowledges heartbeats, nor cancellations.
+func (p *peerState) isEarlierVersion() bool { return p.lastHeartbeat.Ever() && p.lastHeartbeatID == "" }
+
 // applyHeartbeat updates the peer's state from its heartbeat.
-func (p *peerState) applyHeartbeat(heartbeat *NodeHeartbeat) {
+func (p *peerState) applyHeartbeat(heartbeat *NodeHeartbeat, now time.Duration) {
+	p.lastHeartbeat.Record(now)
 	p.revision = max(p.revision, heartbeat.Revision)
 	p.lastHeartbeatID = heartbeat.ID
 	p.storeOK = heartbeat.StoreOK
--- a/internal/core/reachability.go
+++ b/internal/core/reachability.go
@@ -18,14 +18,19 @@
 // receivesMessagesFrom reports whether a message from a controller has arrived recently, over a
 // connection or through an intermediary. If a controller has stopped sending messages, start
 // commands for its machines are lost, and its workers need seconds to switch to another controller.
+// It is false for a controller that has not been heard since this node started.
 func (r *reachability) receivesMessagesFrom(node string) bool {
 	return r.peers.inContact(node, r.now.Steady)
 }
 
+// isSilent reports whether this node has received no message from a controller for a report
+// interval. A node that has just started has to listen for as long before it can tell.
+func (r *reachability) isSilent(node string) bool { return r.peers.isSilent(node, r.now.Steady) }
+
 // isUnreachable reports whether a controller has a live lease in the store although none of its
 // messages arrive here.
 func (r *reachability) isUnreachable(node string) bool {
-	return r.members.isLive(node) && !r.receivesMessagesFrom(node)
+	return r.members.isLive(node) && r.isSilent(node)
 }
 
 // unreachable returns the live controllers whose messages do not arrive here.
@@ -45,7 +50,7 @@
 	if !r.members.isLive(node) || r.peers.get(node) == nil {
 		return false
 	}
-	return r.peers.reportsSelfUnreachable(node) || !r.receivesMessagesFrom(node)
+	return r.peers.reportsSelfUnreachable(node) || r.isSilent(node)
 }
 
 // partitioned reports whether this node is partitioned from any controller.
@@ -62,7 +67,7 @@
 // not isolated.
 func (r *reachability) isolated() bool {
 	for _, node := range r.peers.names {
-		if r.receivesMessagesFrom(node) {
+		if !r.isSilent(node) {
 			return false
 		}
 	}
@@ -74,7 +79,7 @@
 // so none are placed there.
 func (r *reachability) hasContact(node string) bool {
 	return r.receivesMessagesFrom(node) ||
-		r.isUnreachable(node) && r.relay.heartbeatWithin(node, r.now.Steady, r.relayTimeout())
+		r.members.isLive(node) && r.relay.heartbeatWithin(node, r.now.Steady, r.relayTimeout())
 }
 
 // relayTimeout returns the longest expected time between two heartbeats through the store
@@ -92,17 +97,25 @@
 
 // knownToSecondController reports whether a second controller knows of a cancellation, or there is
 // no second one. A controller of an earlier version does not acknowledge cancellations and is
-// trusted to learn of them from its watch.
+// trusted to learn of them from its watch while messages from it arrive.
 func (r *reachability) knownToSecondController(a *cancelAnnouncement) bool {
-	onlyLiveNode := true
 	for node, peer := range r.peers.states {
-		inContact := r.receivesMessagesFrom(node)
-		if a.knownTo(node, r.peers) || inContact && peer.lastHeartbeatID == "" {
+		if a.knownTo(node, r.peers) || peer.isEarlierVersion() && r.receivesMessagesFrom(node) {
 			return true
 		}
-		onlyLiveNode = onlyLiveNode && !inContact && !r.members.isLive(node)
 	}
-	return onlyLiveNode
+	return r.isOnlyController()
+}
+
+// isOnlyController reports whether no other controller is known to run: none is registered, and all
+// are silent.
+func (r *reachability) isOnlyController() bool {
+	for _, node := range r.peers.names {
+		if r.members.isLive(node) || !r.isSilent(node) {
+			return false
+		}
+	}
+	return true
 }
 
 // partitionedFromLeader reports whether this node is partitioned from the leader of a job's
--- a/internal/core/simcluster_test.go
+++ b/internal/core/simcluster_test.go
@@ -19,9 +19,11 @@
 	t     tester
 	rng   *rand.Rand
 	now   time.Duration
-	tick  time.Duration        // the time between two steps of each controller
-	cores map[string]*Core     // running controllers by name
-	inbox map[string][]Command // commands for the next step of each controller
+	tick  time.Duration    // the time between two steps of each controller
+	cores map[string]*Core // running controllers by name
+	// bootedAt holds the time at which each controller was last started.
+	bootedAt map[string]time.Duration
+	inbox    map[string][]Command // commands for the next step of each controller
 
 	kv       map[string]protocol.KeyValue
 	revision uint64
@@ -142,6 +144,7 @@
 		endedAt:               map[string]time.Duration{},
 		completeGangs:         map[taskAttempt]bool{},
 		cores:                 map[string]*Core{},
+		bootedAt:              map[string]time.Duration{},
 		inbox:                 map[string][]Command{},
 		kv:                    map[string]protocol.KeyValue{},
 		seen:                  map[string]uint64{},
@@ -209,6 +212,7 @@
 	if g := cluster.federationConfigs[node]; g != nil {
 		cluster.cores[node].EnableFederation(g)
 	}
+	cluster.bootedAt[node] = cluster.now
 	cluster.inbox[node] = nil
 	delete(cluster.storeUnavailableSince, node)
 	delete(cluster.storeLossReported, node)
@@ -265,7 +269,7 @@
 	cluster.updateStoreHealth(node)
 	batch := cluster.inbox[node]
 	cluster.inbox[node] = nil
-	effects := c.Step(Now{Steady: cluster.now, Wall: cluster.now.Milliseconds()}, batch)
+	effects := c.Step(cluster.clock(node), batch)
 	for token := range c.agents.tokens.acquired {
 		cluster.checkTokenOwner(node, token)
 	}
@@ -274,6 +278,11 @@
 	}
 }
 
+// clock returns the time as a controller sees it: its steady time starts with its process.
+func (cluster *simCluster) clock(node string) Now {
+	return Now{Steady: cluster.now - cluster.bootedAt[node], Wall: cluster.now.Milliseconds()}
+}
+
 // sendEvents delivers new store events to a controller, unless its watch is blocked or lags.
 func (cluster *simCluster) sendEvents(node string) {
 	blocked := cluster.outage || cluster.withoutStore[node] || cluster.awaitingSnapshot[node] || cluster.lists[node] != nil || cluster.blockedWatcher == node
--- a/internal/core/writebudget_test.go
+++ b/internal/core/writebudget_test.go
@@ -63,7 +63,8 @@
 	c := newBusyCore(4)
 	all := c.cfg.Params.State.WriteRPS * jobWriteShare
 	other := c.peers.get(c.cfg.Peers[0].Node)
-	other.lastContact, other.pendingWrites = c.now.Steady, changesByRank{4: 500}
+	c.peers.recordContact(c.cfg.Peers[0].Node, c.now.Steady)
+	other.pendingWrites = changesByRank{4: 500}
 	c.writer.budget.due = changesByRank{2: int(all)}
 	if got := c.writer.jobWriteRate(); got < 0.9*all {
 		t.Errorf("urgent starts get %v of %v changes per second", got, all)
--- a/internal/core/zoneoutage_test.go
+++ b/internal/core/zoneoutage_test.go
@@ -94,7 +94,7 @@
 		c := fleetLeaderInZ1(t)
 		c.now.Steady += tc.silentFor
 		for _, n := range tc.inContact {
-			c.peers.get(n).lastContact = c.now.Steady
+			c.peers.recordContact(n, c.now.Steady)
 		}
 		delete(c.members.live, "b") // a controller that cannot be reached has lost its controller lease
 		delete(c.members.live, "c")
