Count only peers that have said so as reporting an outage of the store

A controller that had just started, and that lost the store before it had heard of any peer, answered health checks with 200 for two report intervals, so load balancers sent users to a controller that reaches nobody. The same for a peer whose first messages were reports.

Cause: peers that were never heard counted as recently in contact (their last contact was 0, the start of the process), and as without the store, since no heartbeat had said otherwise.

Change: peerTable.reportStoreOutage counts peers by their heartbeats, which say whether the store replies.

--- a/internal/core/peertable.go
+++ b/internal/core/peertable.go
@@ -156,13 +156,13 @@
 	}
 }
 
-// reportStoreOutage reports whether at least half of the peers with recent contact, and at
+// reportStoreOutage reports whether at least half of the peers with a recent heartbeat, and at
 // least one, say that the store does not reply to them. It is always true for a controller
 // without peers.
 func (t *peerTable) reportStoreOutage(now time.Duration) bool {
 	recent, withoutStore := 0, 0
 	for _, p := range t.states {
-		if p.lastContact.AbsentFor(now, 2*t.contactTimeout) {
+		if !p.lastHeartbeat.Within(now, 2*t.contactTimeout) {
 			continue
 		}
 		recent++
