Do not take a relay page without a heartbeat for contact just after the start

A controller that has just started, and knows another one only by relay pages that list machines, counted that one as in contact for as long as a page may take, and placed tasks on its machines.

Cause: the inbox of a controller without a heartbeat had its last heartbeat at 0, the start of the process.

Change: the inbox keeps the time as lastseen.Time.

Evidence: TestRelayPageWithoutHeartbeatIsNoContact fails without the change for a page that lists machines only ("got contact true") and passes with it.

--- a/internal/core/relayread.go
+++ b/internal/core/relayread.go
@@ -40,7 +40,7 @@
 	if err := json.Unmarshal(raw, &heartbeat); err != nil {
 		return err
 	}
-	inbox.lastHeartbeat = r.now.Steady
+	inbox.lastHeartbeat.Record(r.now.Steady)
 	r.core.handleNodeHeartbeat(node, heartbeat.NodeHeartbeat)
 	for _, page := range ordered(inbox.pages) {
 		r.applyMachines(node, page)
--- a/internal/core/storerelay.go
+++ b/internal/core/storerelay.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"pepperlever/internal/core/lastseen"
 	"pepperlever/internal/core/relay"
 )
 
@@ -34,7 +35,7 @@
 // relayInbox holds the pages of one other controller, by name.
 type relayInbox struct {
 	// lastHeartbeat is when the newest page with a heartbeat arrived.
-	lastHeartbeat time.Duration
+	lastHeartbeat lastseen.Time
 	pages         map[string]*relay.Page
 }
 
@@ -101,7 +102,7 @@
 // limit.
 func (r *storeRelay) heartbeatWithin(node string, now, limit time.Duration) bool {
 	inbox := r.inboxes[node]
-	return inbox != nil && now-inbox.lastHeartbeat < limit
+	return inbox != nil && inbox.lastHeartbeat.Within(now, limit)
 }
 
 // listsMachines reports whether any page of a controller lists machines.
--- a/internal/core/storerelay_test.go
+++ b/internal/core/storerelay_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pepperlever/internal/protocol"
 )
 
 // The page with the heartbeat leaves room in a transaction for the pages that list machines,
@@ -104,3 +106,29 @@
 	}
 	cluster.checkStartedOnce()
 }
+
+// Guards against tasks on machines of a controller that may be gone: a page without a heartbeat, read just
+// after the start, is no contact with its author, and a heartbeat is none for ever.
+func TestRelayPageWithoutHeartbeatIsNoContact(t *testing.T) {
+	const machines, heartbeat = `{"m":[]}`, `{"b":{"#":1,"n":"b1.1","v":5}}`
+	for name, test := range map[string]struct {
+		page    string
+		age     time.Duration
+		contact bool
+	}{
+		"machines only":        {page: machines},
+		"heartbeat":            {page: heartbeat, contact: true},
+		"heartbeat, long ago":  {page: heartbeat, age: time.Minute},
+		"machines, long after": {page: machines, age: time.Minute},
+	} {
+		c := New(testSettings("a"), newSimCluster(t).cores["a"].policy, "a")
+		c.members.live["b"] = nodeRecord{Incarnation: "b1"}
+		if err := c.relay.onPagePut(protocol.KeyValue{Key: pageKey("b", "0"), Value: []byte(test.page), Version: 6}); err != nil {
+			t.Fatal(err)
+		}
+		c.now.Steady = test.age
+		if got := c.peerReachability.hasContact("b"); got != test.contact {
+			t.Errorf("%s: got contact %v", name, got)
+		}
+	}
+}
