Conclude that no other controller runs only from registrations that were read

A controller that has not read the stored state answered "cancelled" for a job whose cancellation another controller had stored before it ended, though none of those that ran knew: the tasks ran on past cancel_s when the store went down.

Cause: registrations that were never read, or that the watch has yet to bring, counted as none, so after a report interval without messages the controller took itself for the only one.

Change: reachability.isOnlyController asks for a replica that reflects the revision of the cancellation. A controller that really is alone answers when its watch has shown its own write.

Evidence: TestControllerThatHasNotReadRegistrationsDoesNotConfirmCancellation and two rows of TestSecondControllerIsKnownByItsMessages fail without the change (40 tasks 30 s after the answer) and pass with it. The tests of the core pass.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -122,7 +122,7 @@
 	c.lookups = newLookupController(c)
 	c.relay = newStoreRelay(c)
 	c.returnTracker = newMachineReturns(c)
-	c.peerReachability = &reachability{environment: c.environment, members: &c.members, peers: c.peers, relay: c.relay}
+	c.peerReachability = &reachability{environment: c.environment, replica: &c.replica, members: &c.members, peers: c.peers, relay: c.relay}
 	c.freshness = &freshnessTracker{environment: c.environment, peers: c.peers}
 	for _, t := range cfg.Params.Teams {
 		c.addTeam(newTeam(t))
--- a/internal/core/reachability.go
+++ b/internal/core/reachability.go
@@ -10,6 +10,7 @@
 // relay, and which it is partitioned from. It has no state of its own.
 type reachability struct {
 	*environment
+	replica *replica
 	members *membership
 	peers   *peerTable
 	relay   *storeRelay
@@ -104,12 +105,19 @@
 			return true
 		}
 	}
-	return r.isOnlyController()
+	return r.isOnlyController(a.Revision)
 }
 
-// isOnlyController reports whether no other controller is known to run: none is registered, and all
-// are silent.
-func (r *reachability) isOnlyController() bool {
+// isOnlyController reports whether no other controller ran at a store revision, as far as can be told:
+// none is configured, or the replica reflects the revision and shows no other one as registered, and
+// all are silent.
+func (r *reachability) isOnlyController(revision uint64) bool {
+	if len(r.peers.names) == 0 {
+		return true
+	}
+	if !r.replica.reflects(revision) {
+		return false
+	}
 	for _, node := range r.peers.names {
 		if r.members.isLive(node) || !r.isSilent(node) {
 			return false
--- a/internal/core/startedcontroller_test.go
+++ b/internal/core/startedcontroller_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"pepperlever/internal/protocol"
 )
 
 // restartAndCancel describes a cancellation at a controller that has just started.
@@ -102,11 +104,16 @@
 		return func(c *Core) { c.handlePeerMessage(PeerMessageReceived{Node: node, Message: m}) }
 	}
 	register := func(c *Core) { c.members.live["b"] = nodeRecord{Incarnation: "b1"} }
+	const cancelledAt = 7 // the revision of the cancellation
 	for name, test := range map[string]struct {
-		age  time.Duration // of this process, when the last of the events has happened
-		then []func(c *Core)
-		want bool
+		age      time.Duration // of this process, when the last of the events has happened
+		then     []func(c *Core)
+		unloaded bool   // the stored state has not been read
+		behind   uint64 // how many revisions the replica is behind
+		want     bool
 	}{
+		"stored state not read":                  {age: time.Hour, unloaded: true, behind: cancelledAt},
+		"registrations of the time not read":     {age: time.Hour, behind: 1},
 		"just started":                           {age: 0},
 		"nothing heard, not listened for long":   {age: report - 1},
 		"nothing heard, no other registered":     {age: report, want: true},
@@ -122,8 +129,8 @@
 		"acknowledgement":                        {age: 1, then: []func(c *Core){hear("c", PeerMessage{Acknowledged: []string{cancelledJobID}})}, want: true},
 	} {
 		c := New(testSettings("a"), newSimCluster(t).cores["a"].policy, "a")
-		c.replica.loaded, c.replica.revision = true, 7
-		c.announcements.apply(Cancellation{Job: cancelledJobID, Revision: 7})
+		c.replica.loaded, c.replica.revision = !test.unloaded, cancelledAt-test.behind
+		c.announcements.apply(Cancellation{Job: cancelledJobID, Revision: cancelledAt})
 		c.now.Steady = test.age
 		for _, event := range test.then {
 			event(c)
@@ -134,6 +141,43 @@
 	}
 }
 
+// A controller that has not read the registrations does not know who else runs. It must not conclude that
+// it runs alone, and confirm a cancellation that another controller has stored before it crashed.
+func TestControllerThatHasNotReadRegistrationsDoesNotConfirmCancellation(t *testing.T) {
+	const started = "a"
+	cluster := newIdleSimCluster(t, 20)
+	cluster.allowRacingStarts, cluster.taskTime = true, 10*time.Minute
+	requireAccepted(t, cluster.submit("b", cancelledJobID, 40, ""))
+	cluster.waitUntilStarted(cancelledJobID, 40)
+	cluster.crash(started)
+	cluster.disconnectLinks(func(from, to string) bool { return from == started || to == started })
+	cluster.listPageSize = 1
+	cluster.holdNextPage = func(node string) bool { return node == started }
+	cluster.boot(started)
+	cluster.run(reportIntervals(3), nil)
+	cluster.watchLag = time.Minute
+	for _, n := range cluster.names {
+		cluster.watchedAt[n] = cluster.now
+	}
+	cluster.commitTxn(protocol.Txn{
+		If: []protocol.Condition{{Key: keyState + cancelledJobID}},
+		Then: []protocol.Change{
+			putJSON(keyState+cancelledJobID, finalStateRecord{State: protocol.Cancelled}),
+			putJSON(cancelKey(cancelledJobID), cancelRecord{RequestedAt: cluster.now.Milliseconds()}),
+		},
+	})
+	if cluster.cores[started].replica.loaded {
+		t.Fatal("the controller has read the stored state")
+	}
+	if answer := cluster.status(started, cancelledJobID); answer.Status == http.StatusOK {
+		t.Errorf("got %v from a controller that does not know who else runs", answer.Body)
+		cluster.confirmCancelled(cancelledJobID)
+	}
+	cluster.outage = true
+	cluster.crash(started)
+	cluster.run(cluster.cancelDeadline()*3/2, nil)
+}
+
 // listenFrom returns an event that happens at another age of the process.
 func listenFrom(age time.Duration, event func(c *Core)) func(c *Core) {
 	return func(c *Core) {
