Place nothing on a machine that is known by its replies alone, also just after the start

A controller that had just started placed tasks on machines whose own reports reach nobody, for two and a half report intervals; their controllers refuse such starts, which then go elsewhere later.

Cause: the last report of a machine that has sent none since the start was at 0, the start of the process.

Change: Machine.LastReport is a lastseen.Time, and a machine without a report counts as overdue. Two tests made machines that had never reported and relied on the start of the process in their place; they record a report now, and ask for the same as before.

Evidence: TestMachineKnownByRepliesAloneGetsNoNewTasks fails without the change for replies alone ("got overdue false") and passes with it. The tests of the core pass.

--- a/internal/core/agentcontroller.go
+++ b/internal/core/agentcontroller.go
@@ -47,7 +47,7 @@
 // numbers of their newest reports.
 func (a *agentController) takeReported() (machines []string, seqs []uint64) {
 	for _, m := range a.ownMachines() {
-		if m.LastReport > a.reportsTakenAt {
+		if m.LastReport.After(a.reportsTakenAt) {
 			machines = append(machines, m.Machine)
 			seqs = append(seqs, m.Seq)
 		}
--- a/internal/core/announcements_test.go
+++ b/internal/core/announcements_test.go
@@ -24,6 +24,7 @@
 		c.agents.add("vm", w)
 		m := c.addMachine("vm")
 		m.Machine, m.Type, m.Node = "vm", "small", "a"
+		c.machines.RecordContact(m, false, c.now.Steady)
 		if announcedFirst {
 			c.announcements.receive("b", []Cancellation{announced})
 		}
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -153,7 +153,7 @@
 			for b.Loop() {
 				c.now.Steady += time.Second
 				for _, m := range c.machines.All() {
-					m.LastContact, m.LastReport = c.now.Steady, c.now.Steady
+					c.machines.RecordContact(m, false, c.now.Steady)
 				}
 				c.scheduler.roundRequested, c.scheduler.nextRoundAt, c.effects, c.scheduler.claims = true, 0, nil, nil
 				c.schedule()
--- a/internal/core/lastseen/lastseen.go
+++ b/internal/core/lastseen/lastseen.go
@@ -17,6 +17,9 @@
 // Ever reports whether there has been an event.
 func (t Time) Ever() bool { return t.seen }
 
+// After reports whether the newest event is later than a time.
+func (t Time) After(at time.Duration) bool { return t.seen && t.at > at }
+
 // Within reports whether the newest event is less than limit ago. It is false if there has been none,
 // so it may serve as evidence that the source of the events works.
 func (t Time) Within(now, limit time.Duration) bool { return t.seen && now-t.at < limit }
--- a/internal/core/lastseen/lastseen_test.go
+++ b/internal/core/lastseen/lastseen_test.go
@@ -35,5 +35,8 @@
 		if got := last.Ever(); got != (len(test.events) > 0) {
 			t.Errorf("%s: got ever seen %v", name, got)
 		}
+		if got := last.After(-1); got != (len(test.events) > 0) || last.After(test.now) {
+			t.Errorf("%s: got after a time before the start %v, after now %v", name, got, last.After(test.now))
+		}
 	}
 }
--- a/internal/core/machinetimeouts.go
+++ b/internal/core/machinetimeouts.go
@@ -18,7 +18,7 @@
 // reportOverdue reports whether the reports that a machine's worker sends on its own have stopped
 // arriving, even though the worker may still reply to deliveries. Such a machine is probed for the
 // outcomes of its tasks. It gets no new tasks, since these would be lost when its worker lease ends
-// (docs/incidents/mute.md).
+// (docs/incidents/mute.md). A machine that is known by its replies alone is overdue too.
 func (e *environment) reportOverdue(m *worker.Machine) bool {
-	return e.now.Steady-m.LastReport >= 2*e.reportInterval()+e.reportInterval()/2
+	return !m.LastReport.Within(e.now.Steady, 2*e.reportInterval()+e.reportInterval()/2)
 }
--- a/internal/core/silentmachines_test.go
+++ b/internal/core/silentmachines_test.go
@@ -97,6 +97,28 @@
 	}
 }
 
+// TestMachineKnownByRepliesAloneGetsNoNewTasks guards against starts on a machine whose reports reach no
+// controller, by a controller that has started since and knows the machine from replies to deliveries.
+func TestMachineKnownByRepliesAloneGetsNoNewTasks(t *testing.T) {
+	for name, observations := range map[string][]bool{ // whether each observation is of a reply
+		"replies alone":          {true, true},
+		"report":                 {false},
+		"report, then a reply":   {false, true},
+		"reply, then its report": {true, false},
+	} {
+		c := New(testSettings("a"), newSimCluster(t).cores["a"].policy, "a")
+		c.now.Steady = time.Second
+		for i, direct := range observations {
+			c.applyObservation(Observation{Node: "b", Token: 1, Direct: direct, Report: protocol.Report{Machine: "vm-1",
+				Type: "small", Zone: "z1", WorkerEpoch: 1, Seq: uint64(i + 1)}})
+		}
+		wantOverdue := !slices.Contains(observations, false)
+		if got := c.reportOverdue(c.machines.Get("vm-1")); got != wantOverdue {
+			t.Errorf("%s: got overdue %v", name, got)
+		}
+	}
+}
+
 // TestNonReportingMachineKeepsTasksUntilLeaseExpires checks that a machine that cannot reach any
 // controller for less than its lease loses no tasks: the controllers poll it for reports.
 func TestNonReportingMachineKeepsTasksUntilLeaseExpires(t *testing.T) {
--- a/internal/core/starts_test.go
+++ b/internal/core/starts_test.go
@@ -95,6 +95,7 @@
 		c.agents.add("vm", session)
 		m := c.addMachine("vm")
 		m.Machine, m.Type, m.Node, m.WorkerEpoch = "vm", "small", "a", 2
+		c.machines.RecordContact(m, false, c.now.Steady)
 		s.Machine, s.Task, s.Attempt = "vm", "req-free-1/0", 1
 		c.agents.forwardStart("b", s)
 		if queued := len(session.queuedStarts) > 0; queued != (name == "as it is") {
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"pepperlever/internal/core/lastseen"
 	"pepperlever/internal/protocol"
 )
 
@@ -24,7 +25,7 @@
 	// delivery of commands.
 	LastContact time.Duration
 	// LastReport is when any controller last received a report, not counting replies to deliveries.
-	LastReport time.Duration
+	LastReport lastseen.Time
 	// ReclaimAt is when the cloud reclaims the machine. It is 0 without a reclaim notice.
 	ReclaimAt time.Duration
 	// IdleSince is the start of the current idle time: when a task was last known to use the
--- a/internal/core/worker/registry.go
+++ b/internal/core/worker/registry.go
@@ -75,7 +75,7 @@
 	m.LastContact = now
 	r.lastContactByZone[m.Zone] = now
 	if !direct {
-		m.LastReport = now
+		m.LastReport.Record(now)
 	}
 }
 
