Announce a cancellation that users wait for as soon as a connection opens

A user who cancelled at a controller that had just started got 503 until its peers' watches showed the cancellation, or for a report interval and more in an outage of the store, although the links were up by then.

Cause: the announcement was sent once, to nobody, before the connections were open, and was repeated only a report interval later. Since peers that were never heard are no longer trusted, users wait for it.

Change: Core.peerConnected sends the unconfirmed cancellations that the peer may not know of.

Evidence: TestUnconfirmedCancellationIsAnnouncedWhenLinkOpens fails without the change (no answer 0.3 s after the links are back, in an outage of the store) and passes with it.

--- a/internal/core/announcements_test.go
+++ b/internal/core/announcements_test.go
@@ -203,3 +203,32 @@
 		t.Errorf("got state %q once other controllers know, want cancelled", s.State)
 	}
 }
+
+// Guards against users who wait for a report interval, or for ever in an outage of the store, although the
+// links are back: the announcement of a controller that has just started may find no connection.
+func TestUnconfirmedCancellationIsAnnouncedWhenLinkOpens(t *testing.T) {
+	const started = "a"
+	cluster := newIdleSimCluster(t, 20)
+	cluster.allowRacingStarts, cluster.taskTime = true, 10*time.Minute
+	requireAccepted(t, cluster.submit("b", cancelledJobID, 40, ""))
+	cluster.waitUntilStarted(cancelledJobID, 40)
+	cluster.crash(started)
+	cluster.disconnectLinks(func(from, to string) bool { return from == started || to == started })
+	cluster.boot(started)
+	cluster.run(200*time.Millisecond, nil)
+	cluster.watchLag = time.Minute
+	for _, n := range cluster.names {
+		cluster.watchedAt[n] = cluster.now
+	}
+	cluster.send(started, Cancel{Req: 1 << 20, ID: cancelledJobID})
+	cluster.run(500*time.Millisecond, nil)
+	cluster.outage = true
+	if cluster.answers[1<<20].Status != 0 {
+		t.Fatal("the cancellation is answered while no other controller knows of it")
+	}
+	cluster.restoreLinks()
+	cluster.run(300*time.Millisecond, nil)
+	if got := cluster.answers[1<<20].Status; got != http.StatusOK {
+		t.Errorf("got status %d after the links were restored, want 200", got)
+	}
+}
--- a/internal/core/announcer.go
+++ b/internal/core/announcer.go
@@ -78,6 +78,20 @@
 	a.unconfirmed[id] = announcement
 }
 
+// repeatUnconfirmed sends a controller, to which a connection has opened, the cancellations that users
+// wait for. The first announcement of these may have found no connection.
+func (a *announcer) repeatUnconfirmed(node string) {
+	var due []Cancellation
+	for _, announcement := range ordered(a.unconfirmed) {
+		if len(due) < cancellationsPerMessage && !announcement.knownTo(node, a.core.peers) {
+			due = append(due, announcement.Cancellation)
+		}
+	}
+	if len(due) > 0 {
+		a.core.route(node, PeerMessage{Cancellations: due})
+	}
+}
+
 // mayConfirm reports whether users may be told of a cancellation: a second controller knows of it, or
 // the job needs no stopping any more.
 func (a *announcer) mayConfirm(announcement *cancelAnnouncement) bool {
--- a/internal/core/peermessaging.go
+++ b/internal/core/peermessaging.go
@@ -10,9 +10,11 @@
 }
 
 // peerConnected records that a controller is connected, and sends it what it may have missed: the
-// newest reports of this node's machines, and the progress of the jobs handed off to other sites.
+// cancellations that users wait for, the newest reports of this node's machines, and the progress of the
+// jobs handed off to other sites.
 func (c *Core) peerConnected(node string) {
 	c.peers.setConnected(node, true)
+	c.announcements.repeatUnconfirmed(node)
 	var observations []Observation
 	for session, m := range c.agents.ownMachines() {
 		observations = append(observations, Observation{Node: c.cfg.Node, Token: session.token, Report: m.Report, Direct: c.reportOverdue(m)})
