Draw cancellations at controllers that have just started in random scenarios

Cause: no random scenario cancelled a job at a controller that had just started while links were down, so none showed the fault of told-alone.

Change: TestInvariantsHoldUnderCancellationsAfterStart, about five states of the links, three of them cut one way.

--- a/internal/core/repeateddeliveries_test.go
+++ b/internal/core/repeateddeliveries_test.go
@@ -25,6 +25,9 @@
 	if fault := furtherFaults[name]; fault != nil {
 		return fault
 	}
+	if refused := startedLinkFaults[name]; refused != nil {
+		return func(r *randomScenario, node, _ string) { r.cancelAtStartedController(node, refused) }
+	}
 	return faults[name]
 }
 
