Share what tests of started controllers and of random scenarios had twice

Change: checkRandomScenarios, simCluster.delayWatches and newStartedCore. What the tests draw and ask is the same.

--- a/internal/core/announcements_test.go
+++ b/internal/core/announcements_test.go
@@ -49,7 +49,7 @@
 func TestJobAcceptedAfterItsCancellationIsCancelled(t *testing.T) {
 	cluster := newSimCluster(t).waitUntilReady()
 	requireAccepted(t, cluster.submit("a", "req-free-1", 3, ""))
-	c := New(testSettings("a"), cluster.cores["a"].policy, "a")
+	c := newStartedCore()
 	c.announcements.receive("b", []Cancellation{{Job: "req-free-1", Revision: 99}})
 	c.onPut(cluster.kv[jobKey("req-free-1")])
 	if j := c.jobs["req-free-1"]; j == nil || !j.Cancelled {
@@ -216,10 +216,7 @@
 	cluster.disconnectLinks(func(from, to string) bool { return from == started || to == started })
 	cluster.boot(started)
 	cluster.run(200*time.Millisecond, nil)
-	cluster.watchLag = time.Minute
-	for _, n := range cluster.names {
-		cluster.watchedAt[n] = cluster.now
-	}
+	cluster.delayWatches(time.Minute)
 	cluster.send(started, Cancel{Req: 1 << 20, ID: cancelledJobID})
 	cluster.run(500*time.Millisecond, nil)
 	cluster.outage = true
--- a/internal/core/freshness_test.go
+++ b/internal/core/freshness_test.go
@@ -42,7 +42,7 @@
 		}, 0},
 		"refused request": {func(c *Core) { c.recordStoreReply(sent, StoreReply{Outcome: OutcomeRefused, Revision: 5}) }, 0},
 	} {
-		c := New(testSettings("a"), newSimCluster(t).cores["a"].policy, "a")
+		c := newStartedCore()
 		c.replica.revision, c.now.Steady = 5, sent
 		c.freshness.nextHeartbeatID(c.members.incarnation)
 		c.now.Steady = later
--- a/internal/core/health_test.go
+++ b/internal/core/health_test.go
@@ -40,7 +40,7 @@
 		"a peer without the store heard": {event: hear(PeerMessage{Heartbeat: &NodeHeartbeat{ID: "b1.1"}}), status: http.StatusOK},
 	} {
 		for _, age := range []time.Duration{time.Millisecond, reportIntervals(2) - 1} {
-			c := New(testSettings("a"), newSimCluster(t).cores["a"].policy, "a")
+			c := newStartedCore()
 			c.replica.loaded, c.storeOK = true, false
 			c.handleCatalog(CatalogReceived{Types: newSimCluster(t).types})
 			c.now.Steady = age
--- a/internal/core/randomscenarios_test.go
+++ b/internal/core/randomscenarios_test.go
@@ -71,16 +71,22 @@
 // short one.
 func TestInvariantsHoldUnderRandomFaults(t *testing.T) {
 	for fault := range faults {
-		t.Run(fault, func(t *testing.T) {
-			t.Parallel()
-			rapid.Check(t, func(t *rapid.T) {
-				steps := rapid.SliceOfN(drawScenarioStep(fault), 2, 24).Draw(t, "steps")
-				runRandomScenario(t, steps, func(*randomScenario) {})
-			})
-		})
+		checkRandomScenarios(t, fault, func(*randomScenario) {})
 	}
 }
 
+// checkRandomScenarios runs random scenarios about a fault, in a subtest of its own. prepare changes each
+// scenario before its first step.
+func checkRandomScenarios(t *testing.T, fault string, prepare func(r *randomScenario)) {
+	t.Run(fault, func(t *testing.T) {
+		t.Parallel()
+		rapid.Check(t, func(t *rapid.T) {
+			steps := rapid.SliceOfN(drawScenarioStep(fault), 2, 24).Draw(t, "steps")
+			runRandomScenario(t, steps, prepare)
+		})
+	})
+}
+
 // randomScenario is a simulated cluster with random faults, and the answers that its users have
 // received.
 type randomScenario struct {
--- a/internal/core/repeateddeliveries_test.go
+++ b/internal/core/repeateddeliveries_test.go
@@ -6,8 +6,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"pgregory.net/rapid"
 )
 
 // furtherFaults are faults that only some tests draw. They are apart from faults so that recorded seeds
@@ -40,13 +38,7 @@
 // checkScenariosWithRepeats runs random scenarios about each of faultsWithRepeats.
 func checkScenariosWithRepeats(t *testing.T, prepare func(r *randomScenario)) {
 	for _, fault := range faultsWithRepeats {
-		t.Run(fault, func(t *testing.T) {
-			t.Parallel()
-			rapid.Check(t, func(t *rapid.T) {
-				steps := rapid.SliceOfN(drawScenarioStep(fault), 2, 24).Draw(t, "steps")
-				runRandomScenario(t, steps, prepare)
-			})
-		})
+		checkRandomScenarios(t, fault, prepare)
 	}
 }
 
--- a/internal/core/silentmachines_test.go
+++ b/internal/core/silentmachines_test.go
@@ -106,7 +106,7 @@
 		"report, then a reply":   {false, true},
 		"reply, then its report": {true, false},
 	} {
-		c := New(testSettings("a"), newSimCluster(t).cores["a"].policy, "a")
+		c := newStartedCore()
 		c.now.Steady = time.Second
 		for i, direct := range observations {
 			c.applyObservation(Observation{Node: "b", Token: 1, Direct: direct, Report: protocol.Report{Machine: "vm-1",
--- a/internal/core/simcluster_test.go
+++ b/internal/core/simcluster_test.go
@@ -294,6 +294,14 @@
 	cluster.seen[node] = uint64(len(cluster.events))
 }
 
+// delayWatches keeps all watches from delivering events for d, and from then on for d between two events.
+func (cluster *simCluster) delayWatches(d time.Duration) {
+	cluster.watchLag = d
+	for _, node := range cluster.names {
+		cluster.watchedAt[node] = cluster.now
+	}
+}
+
 // crash stops a controller. Its lease stays until expire is called.
 func (cluster *simCluster) crash(node string) {
 	delete(cluster.cores, node)
--- a/internal/core/startedcontroller_test.go
+++ b/internal/core/startedcontroller_test.go
@@ -7,8 +7,12 @@
 	"time"
 
 	"pepperlever/internal/protocol"
+	"pepperlever/internal/settings"
 )
 
+// newStartedCore returns the core of controller a, which has just started and knows nothing yet.
+func newStartedCore() *Core { return New(testSettings("a"), settings.DefaultPolicy(), "a") }
+
 // restartAndCancel describes a cancellation at a controller that has just started.
 type restartAndCancel struct {
 	// refused matches the links that are down from the controller's crash on.
@@ -75,10 +79,8 @@
 	cluster.run(200*time.Millisecond, nil)
 	cluster.disconnectLinks(func(from, to string) bool { return s.refused(from, to, started) })
 	cluster.boot(started)
-	cluster.watchLag, cluster.latency = 5*time.Second, true
-	for _, n := range cluster.names {
-		cluster.watchedAt[n] = cluster.now
-	}
+	cluster.latency = true
+	cluster.delayWatches(5 * time.Second)
 	cluster.run(200*time.Millisecond, nil)
 	if answer := cluster.cancelJob(started, cancelledJobID); answer.Status != s.status {
 		t.Errorf("got status %d, want %d", answer.Status, s.status)
@@ -128,7 +130,7 @@
 		"earlier version, silent and registered": {age: time.Hour, then: []func(c *Core){register, listenFrom(time.Minute, hear("b", PeerMessage{Heartbeat: &NodeHeartbeat{}}))}},
 		"acknowledgement":                        {age: 1, then: []func(c *Core){hear("c", PeerMessage{Acknowledged: []string{cancelledJobID}})}, want: true},
 	} {
-		c := New(testSettings("a"), newSimCluster(t).cores["a"].policy, "a")
+		c := newStartedCore()
 		c.replica.loaded, c.replica.revision = !test.unloaded, cancelledAt-test.behind
 		c.announcements.apply(Cancellation{Job: cancelledJobID, Revision: cancelledAt})
 		c.now.Steady = test.age
@@ -155,10 +157,7 @@
 	cluster.holdNextPage = func(node string) bool { return node == started }
 	cluster.boot(started)
 	cluster.run(reportIntervals(3), nil)
-	cluster.watchLag = time.Minute
-	for _, n := range cluster.names {
-		cluster.watchedAt[n] = cluster.now
-	}
+	cluster.delayWatches(time.Minute)
 	cluster.commitTxn(protocol.Txn{
 		If: []protocol.Condition{{Key: keyState + cancelledJobID}},
 		Then: []protocol.Change{
--- a/internal/core/startedscenarios_test.go
+++ b/internal/core/startedscenarios_test.go
@@ -4,8 +4,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	"pgregory.net/rapid"
 )
 
 // startedLinkFaults are the states of the links of a controller that has just started, by the name of the
@@ -23,13 +21,7 @@
 // there, the store goes down, and the controller ends again.
 func TestInvariantsHoldUnderCancellationsAfterStart(t *testing.T) {
 	for fault := range startedLinkFaults {
-		t.Run(fault, func(t *testing.T) {
-			t.Parallel()
-			rapid.Check(t, func(t *rapid.T) {
-				steps := rapid.SliceOfN(drawScenarioStep(fault), 2, 24).Draw(t, "steps")
-				runRandomScenario(t, steps, func(*randomScenario) {})
-			})
-		})
+		checkRandomScenarios(t, fault, func(*randomScenario) {})
 	}
 }
 
@@ -41,10 +33,7 @@
 	}
 	r.disconnectLinks(func(from, to string) bool { return refused(from, to, node) })
 	r.restartImmediately(node)
-	r.watchLag = time.Duration(r.rng.IntN(4)) * time.Second
-	for _, watcher := range r.names {
-		r.watchedAt[watcher] = r.now
-	}
+	r.delayWatches(time.Duration(r.rng.IntN(4)) * time.Second)
 	r.after(r.randomTicks(10), func() {
 		r.cancelRunningJobAt(node, func() {
 			r.outage = true
--- a/internal/core/storerefusal_test.go
+++ b/internal/core/storerefusal_test.go
@@ -220,10 +220,8 @@
 		// delivered the cancellation.
 		"the confirming controller crashes immediately": {
 			refused: func(cluster *simCluster) {
-				cluster.watchLag, cluster.latency = 3*time.Second, true
-				for _, n := range cluster.names {
-					cluster.watchedAt[n] = cluster.now
-				}
+				cluster.latency = true
+				cluster.delayWatches(3 * time.Second)
 			},
 			outage: func(cluster *simCluster, _, confirmingNode string) { cluster.crash(confirmingNode) }},
 		"the old leader restarts immediately": {outage: func(cluster *simCluster, refusedNode, _ string) {
--- a/internal/core/storerelay_test.go
+++ b/internal/core/storerelay_test.go
@@ -121,7 +121,7 @@
 		"heartbeat, long ago":  {page: heartbeat, age: time.Minute},
 		"machines, long after": {page: machines, age: time.Minute},
 	} {
-		c := New(testSettings("a"), newSimCluster(t).cores["a"].policy, "a")
+		c := newStartedCore()
 		c.members.live["b"] = nodeRecord{Incarnation: "b1"}
 		if err := c.relay.onPagePut(protocol.KeyValue{Key: pageKey("b", "0"), Value: []byte(test.page), Version: 6}); err != nil {
 			t.Fatal(err)
