Wrap the comment on health checks

Cause: a line of it had grown past the width of the others.

Change: the comment is wrapped; its text is the same.

Result: the package builds and vets.

--- a/internal/core/health.go
+++ b/internal/core/health.go
@@ -7,7 +7,8 @@
 // peers can reach it. It stays healthy if at least half of the peers with a recent heartbeat report the
 // outage as well, because immediate errors serve users better than an empty list of controllers. A
 // controller that has peers but reaches neither the store nor any of them counts as partitioned and
-// is unhealthy, also if it has just started and has not heard of them yet. A controller without peers needs no contact to the store to be healthy.
+// is unhealthy, also if it has just started and has not heard of them yet. A controller without peers
+// needs no contact to the store to be healthy.
 func (c *Core) health(m Health) {
 	serves := c.replica.loaded && c.catalog.Loaded() && (c.storeOK || c.peers.reportStoreOutage(c.now.Steady))
 	if !serves {
