Answer questions about jobs at other sites from the site's own store

A user's job that had been handed off got 503 for every question while the link to its site was down, at each controller that had ended since. Without any disruption, controllers that did not lead the gateway answered 503 for seconds after the other site had accepted the job.

Cause: the done and running tasks of such a job came with the other site's messages and were kept in memory alone; a controller without them answered nothing (lacksProgress), so that nobody was told fewer than before.

Change: the gateway's leader stores the counts under j/o/JOB with the epoch of the hand-off, several jobs in a transaction, on the condition that what is stored is unchanged, within a twentieth of the write rate. Users are told only what is stored, and "pending" until anything is. No step of a hand-off depends on the new key. The leader still announces counts to controllers of earlier versions, and stores what such a leader has announced.

Why it works: every controller has the stored counts in its replica, after a restart, without the link, as leader or not; nothing newer was told to anybody.

--- a/internal/core/federation.go
+++ b/internal/core/federation.go
@@ -31,7 +31,9 @@
 	// pendingLookups holds the IDs of accepted jobs of other sites whose final state is being
 	// looked up.
 	pendingLookups map[string]bool
-	operators      operatorRequestTable
+	// progress is replaced whenever the coordinator starts.
+	progress  *progressWriter
+	operators operatorRequestTable
 }
 
 // EnableFederation makes this site part of a federation. It must be called before the first Step.
@@ -72,6 +74,7 @@
 	clear(f.pendingLookups)
 	f.inputs = []federation.Input{federation.RecordsLoaded{Records: records}}
 	f.reloadAt = 0
+	f.progress = newProgressWriter(f)
 }
 
 // stopCoordinator stops the coordinator after this controller has lost the leadership.
--- a/internal/core/federationmessages.go
+++ b/internal/core/federationmessages.go
@@ -13,12 +13,6 @@
 	Reply    *OperatorReply      `json:"t,omitempty"`
 }
 
-// Progress counts the done and the running tasks of a job at another site.
-type Progress struct {
-	Done    int `json:"d,omitempty"`
-	Running int `json:"r,omitempty"`
-}
-
 // OperatorRequest is an operator's query or command for the federation adapter.
 type OperatorRequest struct {
 	Req uint64         `json:"q"`
--- a/internal/core/federationrouting.go
+++ b/internal/core/federationrouting.go
@@ -34,18 +34,6 @@
 	f.add(input)
 }
 
-// recordRemoteProgress records the progress of a job at another site and broadcasts it to all
-// controllers.
-func (f *federationAdapter) recordRemoteProgress(m federation.Message) {
-	id, found := f.coordinator.OutgoingJob(m.From, m.Epoch)
-	if !found {
-		return
-	}
-	f.core.handoffs.recordProgress(id, Progress{m.Done, m.Running})
-	progress := map[string]Progress{id: f.core.handoffs.progressOf(id)}
-	f.core.broadcast(PeerMessage{Federation: &FederationMessage{Progress: progress}})
-}
-
 // infeasibleReason returns why a job of another site can never run here, or "" if it can.
 func (f *federationAdapter) infeasibleReason(t *federation.Ticket) string {
 	spec, err := job.Parse(t.Body, f.core.limits.maxSpecBytes())
@@ -90,7 +78,7 @@
 		}
 	case message.Progress != nil:
 		for id, progress := range message.Progress {
-			f.core.handoffs.recordProgress(id, progress)
+			f.core.handoffs.announceProgress(id, progress)
 		}
 	case message.Cancel != "" && f.running():
 		f.add(federation.CancelRequested{JobID: message.Cancel})
--- a/internal/core/federationstep.go
+++ b/internal/core/federationstep.go
@@ -26,6 +26,7 @@
 			return
 		}
 	}
+	f.progress.flush()
 }
 
 func (f *federationAdapter) executeEffect(effect federation.Effect) {
--- a/internal/core/handoffs.go
+++ b/internal/core/handoffs.go
@@ -25,8 +25,7 @@
 	// unconfirmed holds the jobs that are handed off, as a failed write has shown, but whose records
 	// have not arrived yet. The value is the time of the reply to that write.
 	unconfirmed map[string]time.Duration
-	// progress holds the progress of outgoing jobs as reported by other sites. It is only displayed.
-	progress map[string]Progress
+	progress    progressReplica
 }
 
 func newHandoffReplica() handoffReplica {
@@ -35,7 +34,7 @@
 		versions:           map[string]uint64{},
 		unwatchedDeletions: map[string]uint64{},
 		unconfirmed:        map[string]time.Duration{},
-		progress:           map[string]Progress{},
+		progress:           newProgressReplica(),
 	}
 }
 
@@ -45,28 +44,6 @@
 // hasRecords reports whether any hand-off record is stored.
 func (r *handoffReplica) hasRecords() bool { return len(r.versions) > 0 }
 
-// recordProgress records the progress of a job at another site. The number of done tasks never
-// decreases.
-func (r *handoffReplica) recordProgress(id string, progress Progress) {
-	if _, outgoing := r.Outgoing[id]; outgoing {
-		progress.Done = max(progress.Done, r.progress[id].Done)
-		r.progress[id] = progress
-	}
-}
-
-// progressOf returns the last known progress of an outgoing job.
-func (r *handoffReplica) progressOf(id string) Progress { return r.progress[id] }
-
-// cloneProgress returns a copy of the last known progress of all outgoing jobs.
-func (r *handoffReplica) cloneProgress() map[string]Progress { return maps.Clone(r.progress) }
-
-// lacksProgress reports whether a job has been accepted by another site, but its progress there is
-// unknown. Any answer about the job might then be older than one that its user has already received.
-func (r *handoffReplica) lacksProgress(id string) bool {
-	_, known := r.progress[id]
-	return r.Outgoing[id].Accepted && !known
-}
-
 // recordDeletion records the deletion of a record before the watch reports it.
 func (r *handoffReplica) recordDeletion(key string, revision uint64) {
 	if _, _, err := parseHandoffKey(key); err == nil {
@@ -151,7 +128,7 @@
 	switch kind {
 	case keyOutgoing:
 		delete(r.Outgoing, name)
-		delete(r.progress, name)
+		delete(r.progress.announced, name)
 	case keyIncoming:
 		if id, err := parseIncomingID(name); err == nil {
 			delete(r.Incoming, id)
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -25,6 +25,7 @@
 	keyRelay        = Root + "b/" // j/b/<node>/<page>: messages to controllers that can't be reached directly
 	keyFederation   = Root + "g"  // the leader of the federation shard, attached to its controller lease; see also handoffkeys.go
 	keyVersion      = Root + "p/" // j/p/<node>: the version of a controller; never deleted
+	keyProgress     = Root + "o/" // j/o/<job>: the progress of an outgoing job at its site; only the federation leader writes it
 	keyState        = "u/"        // u/<job>: the final state of a job; never deleted
 )
 
@@ -48,6 +49,8 @@
 
 func chunkKey(id string, chunk job.ChunkKey) string { return jobKey(id) + "/" + chunk.String() }
 
+func progressKey(id string) string { return keyProgress + id }
+
 func cancelKey(id string) string { return keyCancel + id }
 
 // firstChunk identifies the first chunk of a job, which is part of the head and has no store key of
--- a/internal/core/lookups.go
+++ b/internal/core/lookups.go
@@ -142,14 +142,11 @@
 
 // onNoFinalState resolves the lookups of a job that has no final state as of a revision.
 func (l *lookupController) onNoFinalState(group lookup.Group, revision uint64) {
-	switch {
-	case !group.Accepted:
+	if !group.Accepted {
 		group.ResolveAll(lookup.Result{Outcome: lookup.Absent})
-	case l.core.handoffs.lacksProgress(group.JobID):
-		group.ResolveUnavailable()
-	default:
-		l.resolveActive(group, revision)
+		return
 	}
+	l.resolveActive(group, revision)
 }
 
 // onAccepted handles the lookups of a job that was found to be accepted. It resolves those that only
--- a/internal/core/peermessaging.go
+++ b/internal/core/peermessaging.go
@@ -22,7 +22,7 @@
 	for batch := range batchObservations(observations) {
 		c.route(node, PeerMessage{Observations: batch})
 	}
-	if progress := c.handoffs.cloneProgress(); len(progress) > 0 {
+	if progress := c.handoffs.acceptedProgress(); len(progress) > 0 {
 		c.route(node, PeerMessage{Federation: &FederationMessage{Progress: progress}})
 	}
 }
--- a/internal/core/remotesite_test.go
+++ b/internal/core/remotesite_test.go
@@ -13,6 +13,7 @@
 // remoteSite simulates another site that answers messages as the test requires. No message is
 // lost for good: the coordinator sends every message again until it is answered.
 type remoteSite struct {
+	linkCut
 	cluster *simCluster
 	// decide answers an offer; finalState returns the final state of the accepted jobs, or "" until
 	// they have ended.
@@ -56,12 +57,23 @@
 	})
 }
 
+// linkCut names the directions in which the link to the remote site loses messages.
+type linkCut struct {
+	outbound, inbound bool
+}
+
 func (f *remoteSite) send(m federation.Message) {
+	if f.inbound {
+		return
+	}
 	m.From, m.To = "far", "near"
 	f.cluster.send(nodeNames[f.handled%len(nodeNames)], SiteMessageReceived{Message: m})
 }
 
 func (f *remoteSite) receive(m federation.Message) {
+	if f.outbound {
+		return
+	}
 	answer, known := f.answers[m.Epoch]
 	switch {
 	case m.Kind == federation.KindViewRequest:
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -146,6 +146,9 @@
 	for key := range c.handoffs.keys() {
 		known[key] = true
 	}
+	for key := range c.handoffs.progress.keys() {
+		known[key] = true
+	}
 	for _, key := range c.relay.keys(c.cfg.Node) {
 		known[key] = true
 	}
@@ -166,6 +169,8 @@
 		err = c.relay.onPagePut(item)
 	case strings.HasPrefix(key, keyFederation):
 		err = c.onFederationPut(item)
+	case strings.HasPrefix(key, keyProgress):
+		err = c.handoffs.progress.apply(strings.TrimPrefix(key, keyProgress), item)
 	case strings.HasPrefix(key, keyNode):
 		err = c.onNodePut(item)
 	case strings.HasPrefix(key, keyCordon):
@@ -201,6 +206,8 @@
 		c.relay.onPageDelete(key, revision)
 	case strings.HasPrefix(key, keyFederation):
 		c.onFederationDelete(key, revision)
+	case strings.HasPrefix(key, keyProgress):
+		c.handoffs.progress.applyDeletion(strings.TrimPrefix(key, keyProgress), revision)
 	case strings.HasPrefix(key, keyNode):
 		c.onNodeDelete(key)
 	case strings.HasPrefix(key, keyCordon):
