Drop reports of progress that arrive after newer ones

When the link was back, a message that it had held up showed users older counts of running tasks of a job at another site, or "running" after "pending", until the other site's next message.

Cause: of a late report the done tasks were compared with what was known, and the running ones were taken.

Change: a report with fewer done tasks than are known is dropped as a whole: counts of done tasks never decrease. A late report with as many done tasks can't be told apart from a newer one, and is taken until the next.

--- a/internal/core/federationprogress.go
+++ b/internal/core/federationprogress.go
@@ -43,7 +43,8 @@
 	return w
 }
 
-// report records the progress of an outgoing job to be stored. The number of done tasks never decreases.
+// report records the progress of an outgoing job to be stored. The number of done tasks never decreases, so
+// progress with fewer of them than are known arrives late, and is dropped.
 func (w *progressWriter) report(id string, progress Progress) {
 	handoffs := &w.adapter.core.handoffs
 	epoch := handoffs.Outgoing[id].Epoch
@@ -51,8 +52,9 @@
 	if unstored := w.unstored[id]; unstored.Epoch == epoch {
 		known = max(known, unstored.Done)
 	}
-	progress.Done = max(progress.Done, known)
-	w.unstored[id] = progressRecord{Epoch: epoch, Progress: progress}
+	if progress.Done >= known {
+		w.unstored[id] = progressRecord{Epoch: epoch, Progress: progress}
+	}
 }
 
 // flush sends the next write, if there is something to store and the write rate allows it.
--- a/internal/core/outgoingprogress_test.go
+++ b/internal/core/outgoingprogress_test.go
@@ -87,6 +87,8 @@
 		remote.serveUntil(10*time.Second, never)
 	}
 	remote.linkCut = linkCut{}
+	remote.sendLateDecision(s.reported)
+	remote.serveUntil(time.Second, never)
 	s.checkQuestions(cluster)
 	s.checkEnd(cluster, remote)
 }
@@ -159,8 +161,19 @@
 	}
 }
 
+// sendLateDecision delivers a decision that was held up since before the last done task was reported.
+func (f *remoteSite) sendLateDecision(reported Progress) {
+	if reported.Done > 0 {
+		reported.Done--
+		reported.Running++
+	}
+	for epoch := range ordered(f.answers) {
+		f.send(federation.Message{Kind: federation.KindDecision, Accepted: true, Epoch: epoch, Done: reported.Done, Running: reported.Running})
+	}
+}
+
 // checkEnd checks that the job ends as the other site reports, and that no controller answers anything
-// older from then on.
+// older from then on, even if an older message arrives.
 func (s siteCut) checkEnd(cluster *simCluster, remote *remoteSite) {
 	final := protocol.JobState{ID: outgoingJobID, State: protocol.Done, Done: 3}
 	if s.cancels {
@@ -172,6 +185,7 @@
 	}) {
 		cluster.t.Fatal("the end of the job is not told")
 	}
+	remote.sendLateDecision(s.reported)
 	for range 3 {
 		for _, node := range cluster.names {
 			if answer := cluster.status(node, outgoingJobID); answer.Status == http.StatusOK && !cmp.Equal(answer.Body, final) {
