Run arrays that another site has handed off in the lab

In the lab with two sites, a job of several tasks that was handed off stayed pending for ever.

Cause: the emulated workers rebuild the submission of such a job from its stored head, which was read as one of a job with a task per chunk, and refused when it held more.

Change: job.HeadSpec reads the spec of a head however its tasks are divided into chunks.

--- a/internal/core/job/stored.go
+++ b/internal/core/job/stored.go
@@ -143,6 +143,20 @@
 	return head.Nonce, err
 }
 
+// HeadSpec returns the spec in a stored head of a job. It does not depend on how the job's tasks are divided
+// into chunks.
+func HeadSpec(id string, raw json.RawMessage) (*Spec, error) {
+	var head headRecord
+	if err := json.Unmarshal(raw, &head); err != nil {
+		return nil, err
+	}
+	if !head.hasRequiredFields() {
+		return nil, &RecordError{Job: id, Problem: "stored head is incomplete"}
+	}
+	head.Spec.ID = id
+	return head.Spec, nil
+}
+
 // LoadHead loads a stored head, which includes chunk 0 and the list of chunks whose tasks are all
 // done.
 func (j *Job) LoadHead(raw json.RawMessage) error {
--- a/internal/emulator/pair.go
+++ b/internal/emulator/pair.go
@@ -91,11 +91,11 @@
 	if !found {
 		return nil
 	}
-	j := job.New(job.Spec{ID: id}, 1, 0)
-	if j.LoadHead(kv.Value) != nil {
+	spec, err := job.HeadSpec(id, kv.Value)
+	if err != nil {
 		return nil
 	}
-	submission := j.Submission()
+	submission := spec.Submission()
 	return &submission
 }
 
