--- a/internal/core/federation_test.go
+++ b/internal/core/federation_test.go
@@ -29,7 +29,7 @@
 		t.Fatal("job was not handed off after that controller had crashed")
 	}
 	cluster.boot("c")
-	remote.serveUntil(20*time.Second, func() bool { return false })
+	remote.serveFor(20 * time.Second)
 	for _, team := range cluster.cores["c"].teams {
 		if team.leading {
 			t.Errorf("controller without a federation configuration leads team %s", team.Name)
--- a/internal/core/incominghandoffs_test.go
+++ b/internal/core/incominghandoffs_test.go
@@ -15,7 +15,7 @@
 // reported until the other site has closed the hand-off.
 func TestIncomingJobRunsAndItsEndIsReported(t *testing.T) {
 	cluster, remote := newFederatedSimCluster(t)
-	remote.serveUntil(10*time.Second, func() bool { return false })
+	remote.serveFor(10 * time.Second)
 	offer := func(epoch federation.Epoch, body string) federation.Message {
 		return federation.Message{Kind: federation.KindOffer, Epoch: epoch, Ticket: &federation.Ticket{Origin: "far", To: "near", JobID: "req-x",
 			Class: "k", Epoch: epoch, Path: []federation.Site{"far"}, Body: json.RawMessage(body)}}
--- a/internal/core/outgoinghandoffs_test.go
+++ b/internal/core/outgoinghandoffs_test.go
@@ -40,7 +40,7 @@
 	if !remote.serveUntil(time.Minute, cluster.allDone("req-red-1")) {
 		t.Fatal("the end of the job is not stored")
 	}
-	remote.serveUntil(5*time.Second, func() bool { return false })
+	remote.serveFor(5 * time.Second)
 	for _, n := range nodeNames {
 		if s := cluster.status(n, "req-red-1").Body.(protocol.JobState); s.State != protocol.Done || s.Done != 3 {
 			t.Errorf("%s: got job state %+v, want done with 3 tasks", n, s)
@@ -74,7 +74,7 @@
 		if !remote.serveUntil(time.Minute, func() bool { return cluster.cancelJob("b", "req-red-1").Status == http.StatusOK }) {
 			t.Fatalf("accepted %v: cancellation is never confirmed", accepted)
 		}
-		remote.serveUntil(5*time.Second, func() bool { return false })
+		remote.serveFor(5 * time.Second)
 		if s := cluster.status("a", "req-red-1").Body.(protocol.JobState); s.State != protocol.Cancelled || cluster.kv[jobKey("req-red-1")].Version > 0 {
 			t.Errorf("accepted %v: got job state %+v, want cancelled and no head", accepted, s)
 		}
@@ -103,11 +103,11 @@
 func TestOutgoingJobIsNotPlaced(t *testing.T) {
 	cluster, remote := newFederatedSimCluster(t)
 	cluster.change(protocol.Change{Put: outgoingKey("req-red-1"), Value: mustjson.Marshal(federation.Outgoing{Epoch: 1, To: "far"})})
-	remote.serveUntil(time.Second, func() bool { return false })
+	remote.serveFor(time.Second)
 	if a := cluster.submit("a", "req-red-1", 3, ""); a.Status != http.StatusCreated {
 		t.Fatalf("submission got %d", a.Status)
 	}
-	remote.serveUntil(15*time.Second, func() bool { return false })
+	remote.serveFor(15 * time.Second)
 	for n, c := range cluster.cores {
 		if j := c.jobs["req-red-1"]; j.Attempt > 0 || c.startAllowance(j) > 0 {
 			t.Errorf("%s tried to bind the outgoing job", n)
@@ -139,14 +139,14 @@
 		}, holds: func(cluster *simCluster) bool { return cluster.kv[outgoingKey("req-red-1")].Version == 0 }},
 	} {
 		cluster, remote := newFederatedSimCluster(t)
-		remote.serveUntil(10*time.Second, func() bool { return false }) // the sites compare their records first
+		remote.serveFor(10 * time.Second) // the sites compare their records first
 		cluster.nextReq++
 		cluster.send("a", Submit{Req: cluster.nextReq, Body: []byte(submission("req-red-1", "red", 3, c.extraFields))})
 		if !cluster.run(time.Second, func() bool { _, stored := cluster.kv[jobKey("req-red-1")]; return stored }) {
 			t.Fatalf("%s: job is not accepted", name)
 		}
 		c.before(cluster)
-		remote.serveUntil(15*time.Second, func() bool { return false })
+		remote.serveFor(15 * time.Second)
 		if !c.holds(cluster) {
 			t.Errorf("%s: starts %v, versions of the hand-off record %d and of the final state %d", name, cluster.starts, cluster.kv[outgoingKey("req-red-1")].Version, cluster.kv[keyState+"req-red-1"].Version)
 		}
--- a/internal/core/outgoingprogress_test.go
+++ b/internal/core/outgoingprogress_test.go
@@ -84,18 +84,15 @@
 	s.endControllers(cluster, remote)
 	for range 10 {
 		s.checkQuestions(cluster)
-		remote.serveUntil(10*time.Second, never)
+		remote.serveFor(10 * time.Second)
 	}
 	remote.linkCut = linkCut{}
 	remote.sendLateDecision(s.reported)
-	remote.serveUntil(time.Second, never)
+	remote.serveFor(time.Second)
 	s.checkQuestions(cluster)
 	s.checkEnd(cluster, remote)
 }
 
-// never is a condition that is never met.
-func never() bool { return false }
-
 // toldByAll returns a condition that is met once the job is accepted and every controller tells its
 // progress.
 func (s siteCut) toldByAll(cluster *simCluster) func() bool {
@@ -121,7 +118,7 @@
 	}
 	for range 3 {
 		s.checkQuestions(cluster)
-		remote.serveUntil(5*time.Second, never)
+		remote.serveFor(5 * time.Second)
 	}
 	for _, node := range ended {
 		cluster.boot(node)
@@ -192,7 +189,7 @@
 				cluster.t.Errorf("%v: %s: got %+v, want %+v", cluster.now, node, answer.Body, final)
 			}
 		}
-		remote.serveUntil(5*time.Second, never)
+		remote.serveFor(5 * time.Second)
 	}
 	if cluster.isStored(progressKey(outgoingJobID)) || cluster.isStored(outgoingKey(outgoingJobID)) {
 		cluster.t.Error("records of the job are left")
@@ -258,7 +255,7 @@
 	if !remote.serveUntil(time.Minute, cluster.allDone(outgoingJobID)) {
 		t.Fatal("the end of the job is not stored")
 	}
-	remote.serveUntil(30*time.Second, never)
+	remote.serveFor(30 * time.Second)
 	if cluster.isStored(progressKey(outgoingJobID)) {
 		t.Error("the progress of the job is left")
 	}
@@ -352,7 +349,7 @@
 			cluster.send(node, PeerMessageReceived{Node: leader, Message: PeerMessage{Federation: &message}})
 		}
 	}
-	remote.serveUntil(time.Second, never)
+	remote.serveFor(time.Second)
 	cluster.crash(leader)
 	cluster.expire(leader)
 	if !remote.serveUntil(time.Minute, func() bool { return cluster.isStored(progressKey(outgoingJobID)) }) {
@@ -389,7 +386,7 @@
 		for epoch := range ordered(remote.answers) {
 			remote.send(federation.Message{Kind: federation.KindDecision, Accepted: true, Epoch: epoch, Done: done, Running: done % 2})
 		}
-		remote.serveUntil(200*time.Millisecond, never)
+		remote.serveFor(200 * time.Millisecond)
 	}
 	rate := progressWriteShare * cluster.cfg["a"].Params.State.WriteRPS
 	if limit := rate*duration.Seconds() + jobs; float64(writes) > limit {
@@ -400,7 +397,7 @@
 			t.Errorf("got %d done tasks of job %d while %d are, want most of them", got, i, done)
 		}
 	}
-	remote.serveUntil(time.Minute, never)
+	remote.serveFor(time.Minute)
 	for i := range jobs {
 		for node, c := range ordered(cluster.cores) {
 			if got := c.handoffs.progressOf(fmt.Sprintf("req-red-%d", i)).Done; got != done {
--- a/internal/core/remotesite_test.go
+++ b/internal/core/remotesite_test.go
@@ -57,6 +57,11 @@
 	})
 }
 
+// serveFor runs the simulation for d, answering the messages to the remote site.
+func (f *remoteSite) serveFor(d time.Duration) {
+	f.serveUntil(d, func() bool { return false })
+}
+
 // linkCut names the directions in which the link to the remote site loses messages.
 type linkCut struct {
 	outbound, inbound bool
