Take the result of a job although the sites have not compared their records

A user was told "running" of a job that had ended at another site, for as long as the link from its origin was cut, once the origin's controllers had ended, although the link to it was up and carried the result again and again.

Cause: a new leader of the gateway takes no message before it has compared its records with the other site's, and that takes a question and an answer.

Change: a result is taken before the comparison, unless that has shown that the records are out of date. It ends a hand-off that the records hold open under its epoch; epochs are not given twice, so it is true whatever else a restored store has forgotten, and it lets nothing run. All other messages wait as before.

--- a/internal/core/outgoingprogress_test.go
+++ b/internal/core/outgoingprogress_test.go
@@ -196,6 +196,39 @@
 	}
 }
 
+// The end of a job at another site is told while only the link from its origin is cut, also by controllers that
+// have started since. Their leader took no result before it had compared its records with the other site's, for
+// which it needs the link in both directions.
+func TestEndOfOutgoingJobIsToldWhileOutboundLinkIsCut(t *testing.T) {
+	for _, final := range []string{protocol.Done, protocol.Cancelled} {
+		for ended, nodes := range map[string][]string{"none": nil, "all": nodeNames} {
+			cluster, remote := newFederatedSimCluster(t)
+			scenario := siteCut{reported: Progress{Done: 1, Running: 2}, link: linkCut{outbound: true}, cancels: final == protocol.Cancelled}
+			scenario.ended = func(string) []string { return nodes }
+			remote.submitRemote(outgoingJobID)
+			if !remote.serveUntil(time.Minute, scenario.toldByAll(cluster)) {
+				t.Fatal("the progress of the job is not told")
+			}
+			if scenario.cancels {
+				cluster.cancelJob("a", outgoingJobID)
+			}
+			scenario.endControllers(cluster, remote)
+			told := false
+			for range 10 {
+				for epoch := range ordered(remote.answers) {
+					remote.send(federation.Message{Kind: federation.KindResult, Epoch: epoch, State: final})
+				}
+				remote.serveFor(time.Second)
+				answer, _ := cluster.status("b", outgoingJobID).Body.(protocol.JobState)
+				told = answer.State == final
+			}
+			if !told {
+				t.Errorf("%s ended: the job is not told to be %s", ended, final)
+			}
+		}
+	}
+}
+
 // Every controller answers questions about a job as soon as its acceptance by another site is stored.
 // Those that did not lead the federation answered 503 until the next message of that site arrived.
 func TestOutgoingJobIsKnownRightAfterItsAcceptance(t *testing.T) {
--- a/internal/federation/compare_test.go
+++ b/internal/federation/compare_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // A store restored from an old backup lacks epochs or decisions, so that jobs could run twice.
@@ -103,3 +105,52 @@
 		}
 	}
 }
+
+// A result ends an outgoing job although the records have not been compared, so that its user is told of the
+// end while only the link from its origin is cut. No other message does, and none after the comparison has shown
+// that the records are out of date.
+func TestResultIsAcceptedBeforeRecordsAreCompared(t *testing.T) {
+	records := Records{}.copy()
+	records.LastEpochs["b"] = 1
+	records.Outgoing["req-1"] = Outgoing{Epoch: 1, To: "b", Accepted: true, Ticket: Ticket{Class: "k"}}
+	result := Message{From: "b", To: "a", Kind: KindResult, Epoch: 1, State: Done}
+	refusal := Message{From: "b", To: "a", Kind: KindDecision, Epoch: 1, Reason: reasonBusy}
+	unknown := result
+	unknown.Epoch = 2
+	other := result
+	other.From = "c"
+	for name, test := range map[string]struct {
+		message Message
+		// suspended is set if the peer knows of an epoch that the records lack.
+		suspended bool
+		accepted  bool
+	}{
+		"result":                      {message: result, accepted: true},
+		"result of an unknown epoch":  {message: unknown},
+		"result of another site":      {message: other},
+		"refusal":                     {message: refusal},
+		"result while it is behind":   {message: result, suspended: true},
+		"refusal while it is behind":  {message: refusal, suspended: true},
+		"an acceptance that was lost": {message: Message{From: "b", To: "a", Kind: KindDecision, Epoch: 1, Accepted: true}},
+	} {
+		coordinator := New(simConfig("a"), 1)
+		coordinator.Step(time.Second, RecordsLoaded{records})
+		if test.suspended {
+			nonce := coordinator.peer("b").nonce
+			coordinator.Step(time.Second, MessageReceived{Message: Message{From: "b", To: "a", Kind: KindView, Nonce: nonce, View: &View{HighestEpoch: 7}}})
+		}
+		var writes []Write
+		for _, effect := range coordinator.Step(2*time.Second, MessageReceived{Message: test.message}) {
+			if write, ok := effect.(StoreWrite); ok {
+				writes = append(writes, write.Write)
+			}
+		}
+		var want []Write
+		if test.accepted {
+			want = []Write{FinishOutgoing{JobID: "req-1", Epoch: 1, FinalState: Done}}
+		}
+		if diff := cmp.Diff(want, writes); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
--- a/internal/federation/coordinator.go
+++ b/internal/federation/coordinator.go
@@ -121,8 +121,8 @@
 
 // handleMessage processes a message from a peer. Every message updates the state of the peer.
 // Before this site has compared its records with the peer's, the contents of a message are
-// processed only if it belongs to the comparison. A decision or result about an epoch that is not
-// outgoing changes no record.
+// processed only if it belongs to the comparison or ends a hand-off. A decision or result about an
+// epoch that is not outgoing changes no record.
 func (c *Coordinator) handleMessage(in MessageReceived) {
 	msg := in.Message
 	if _, known := c.cfg.peer(msg.From); !known || msg.To != c.cfg.Site {
@@ -139,6 +139,7 @@
 		return
 	}
 	if !peer.recordsCompared {
+		c.handleUncompared(msg)
 		return
 	}
 	switch msg.Kind {
@@ -154,6 +155,15 @@
 	c.handleClosed(msg)
 }
 
+// handleUncompared processes a message from a peer with which the records have not been compared. Only a
+// result is accepted: it ends a hand-off that the records hold open, and stays the same whatever else the
+// records lack, whereas the comparison needs the link in both directions.
+func (c *Coordinator) handleUncompared(msg Message) {
+	if msg.Kind == KindResult && c.peer(msg.From).suspendedReason == "" {
+		c.finishOutgoing(msg)
+	}
+}
+
 // advance requests a reload of the records if one is due, sends the messages that are due, within
 // the limits of circuit breakers and retry budgets, and hands off pending jobs.
 func (c *Coordinator) advance() {
--- a/internal/federation/outgoing.go
+++ b/internal/federation/outgoing.go
@@ -137,15 +137,20 @@
 // handleResult stores the final state that the receiver reports for a job. If no job is outgoing
 // under the epoch any more, the epoch is already closed, and the receiver is notified again.
 func (c *Coordinator) handleResult(msg Message) {
-	if job, _, found := c.findOutgoing(msg.Epoch, msg.From); found {
-		c.write(outgoingSubject(job), FinishOutgoing{JobID: job, Epoch: msg.Epoch, FinalState: msg.State})
-		return
-	}
-	if msg.Epoch <= c.records.LastEpochs[msg.From] {
+	if !c.finishOutgoing(msg) && msg.Epoch <= c.records.LastEpochs[msg.From] {
 		c.sendClosed(msg.From, msg.Epoch)
 	}
 }
 
+// finishOutgoing stores the final state in a result, and reports whether a job is outgoing under its epoch.
+func (c *Coordinator) finishOutgoing(result Message) (found bool) {
+	job, _, found := c.findOutgoing(result.Epoch, result.From)
+	if found {
+		c.write(outgoingSubject(job), FinishOutgoing{JobID: job, Epoch: result.Epoch, FinalState: result.State})
+	}
+	return found
+}
+
 // sendClosed notifies a receiver that the outcome of an epoch is stored.
 func (c *Coordinator) sendClosed(to Site, epoch Epoch) {
 	c.send(Message{To: to, Kind: KindClosed, Epoch: epoch})
