Start the clock of TestSlowSenderIsDisconnected before its connection opens

Cause: the server counts from the time the connection opens, the test began to count after that. A pause of the test between the two makes the time look too short. The server kept to its limit.

Change: the clock starts before the connection is opened. The bound, the status and the end of the connection are asked for as before; a server that ends the connection early still fails.

--- a/internal/api/readfailure_test.go
+++ b/internal/api/readfailure_test.go
@@ -133,9 +133,10 @@
 
 // Guards against a slow sender that holds a connection for as long as it sends another byte now and then.
 func TestSlowSenderIsDisconnected(t *testing.T) {
-	conn := dial(t, startAPI(t))
+	address := startAPI(t)
+	begun := time.Now() // before the connection is open, since the server counts from then on
+	conn := dial(t, address)
 	defer conn.Close()
-	begun := time.Now()
 	go func() {
 		for _, err := conn.Write([]byte("POST /work HTTP/1.1\r\nX: ")); err == nil; _, err = conn.Write([]byte("x")) {
 			time.Sleep(requestArrivesWithin / 10)
